--- /dev/null
+++ b/gradeledge-box/src/main/java/org/gradeledge/box/ExitCode.java
@@ -0,0 +1,23 @@
+package org.gradeledge.box;
+
+/** The exit codes of the commands. */
+enum ExitCode {
+  OK(0),
+  FAILED(1),
+  INVALID(2),
+  REFUSED(3),
+  LOST_RACE(4),
+  STALE_BASE(5),
+  UNKNOWN(6),
+  UNREACHABLE(7);
+
+  private final int code;
+
+  ExitCode(int code) {
+    this.code = code;
+  }
+
+  int code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/gradeledge-box/src/main/java/org/gradeledge/box/Main.java
@@ -0,0 +1,56 @@
+package org.gradeledge.box;
+
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * The command line {@code gradeledge}.
+ *
+ * @since 0.1
+ */
+@Command(
+    name = "gradeledge",
+    mixinStandardHelpOptions = true,
+    version = "gradeledge 0.1.0",
+    description = "Serving system for multi-stage model pipelines.",
+    subcommands = {
+      BoxCommand.class,
+      CheckCommand.class,
+      ApplyCommand.class,
+      StatusCommand.class,
+      ShowCommand.class,
+      HistoryCommand.class,
+      AuditCommand.class,
+      DrainCommand.class,
+      AutoComplete.GenerateCompletion.class
+    },
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {
+      "0:done, or accepted",
+      "1:failed",
+      "2:bad arguments, settings or file",
+      "3:refused",
+      "4:lost a race against another submission",
+      "5:the base is not the version in force",
+      "6:the verdict is not known yet; ask history",
+      "7:the box could not be reached"
+    })
+public final class Main implements Runnable {
+
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+  /** Runs the command line and exits with its code. */
+  public static void main(String[] arguments) {
+    System.exit(commandLine().execute(arguments));
+  }
+
+  static CommandLine commandLine() {
+    return new CommandLine(new Main());
+  }
+
+  @Override
+  public void run() {
+    spec.commandLine().usage(System.out);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/admission/StageLimiter.java
@@ -0,0 +1,203 @@
+package org.gradeledge.admission;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.gradeledge.verdict.RefusalException;
+import org.gradeledge.verdict.RefusalReason;
+import org.jspecify.annotations.Nullable;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * Limits how many calls of one stage this box has in progress, and decides who goes next.
+ *
+ * <p>Waiting calls start by priority, and within a priority by start-time fair queueing over the
+ * accounts' weights, so that one account's flood waits behind itself. A call that can no longer
+ * meet its deadline is refused at once, queued or not. Thread-safe.
+ *
+ * @since 0.1
+ */
+public final class StageLimiter {
+
+  private static final Comparator<QueuedTicket> ORDER =
+      Comparator.<QueuedTicket>comparingInt(queued -> -queued.ticket().account().priority())
+          .thenComparingDouble(QueuedTicket::fairStart)
+          .thenComparingLong(QueuedTicket::sequence);
+
+  private final String stage;
+  private final StageTimes times;
+  private final Map<String, Double> finishOfAccount = new HashMap<>();
+  private final TreeSet<QueuedTicket> queue = new TreeSet<>(ORDER);
+  private int limit;
+  private int running;
+  private double virtualTime;
+  private long sequence;
+
+  /** Creates a limiter for a stage; {@code times} tells how long its calls take. */
+  public StageLimiter(String stage, int limit, StageTimes times) {
+    this.stage = stage;
+    this.limit = limit;
+    this.times = times;
+  }
+
+  /** Sets how many calls may be in progress. */
+  public synchronized void setLimit(int value) {
+    limit = value;
+  }
+
+  /** Returns how many calls wait. */
+  public synchronized int queued() {
+    return queue.size();
+  }
+
+  /**
+   * Waits for a permit. The value is to be run exactly once, when the call has ended; cancelling
+   * gives the place up. Fails with {@link RefusalException} "not run" where the deadline cannot be
+   * met.
+   */
+  public Mono<Runnable> acquire(StageTicket ticket) {
+    return Mono.defer(
+        () -> {
+          AtomicReference<@Nullable QueuedTicket> mine = new AtomicReference<>();
+          return Mono.<Runnable>create(
+                  sink -> {
+                    QueuedTicket queued = newTicket(ticket, sink);
+                    mine.set(queued);
+                    enter(queued);
+                  })
+              .doOnCancel(() -> abandon(mine.get()));
+        });
+  }
+
+  private synchronized QueuedTicket newTicket(StageTicket ticket, MonoSink<Runnable> sink) {
+    String account = ticket.account().name();
+    double start = Math.max(virtualTime, finishOfAccount.getOrDefault(account, 0.0));
+    AtomicBoolean granted = new AtomicBoolean();
+    return new QueuedTicket(ticket, start, sequence++, sink, granted, () -> giveBack(granted));
+  }
+
+  private void enter(QueuedTicket queued) {
+    if (!enqueue(queued)) {
+      queued.refuse(unreachable(queued.ticket()));
+      return;
+    }
+    startNext();
+    if (isWaiting(queued)) {
+      refuseWhenTooLate(queued);
+    }
+  }
+
+  private synchronized boolean enqueue(QueuedTicket queued) {
+    StageTicket ticket = queued.ticket();
+    if (!ticket.reachable() || expectedWait(queued).compareTo(ticket.slack()) > 0) {
+      return false;
+    }
+    double finish = queued.fairStart() + 1.0 / ticket.account().weight();
+    finishOfAccount.put(ticket.account().name(), finish);
+    return queue.add(queued);
+  }
+
+  private void refuseWhenTooLate(QueuedTicket queued) {
+    Disposable timer =
+        Schedulers.parallel()
+            .schedule(
+                () -> expire(queued), queued.ticket().slack().toMillis(), TimeUnit.MILLISECONDS);
+    queued.sink().onDispose(timer);
+  }
+
+  /** A permit that was granted while its taker gave up must not be lost. */
+  private void abandon(@Nullable QueuedTicket queued) {
+    if (queued != null && !leave(queued)) {
+      queued.release().run();
+    }
+  }
+
+  private void startNext() {
+    Optional<QueuedTicket> next = takeNext();
+    while (next.isPresent()) {
+      QueuedTicket queued = next.get();
+      if (queued.ticket().reachable()) {
+        queued.grant();
+      } else {
+        queued.release().run();
+        queued.refuse(unreachable(queued.ticket()));
+      }
+      next = takeNext();
+    }
+  }
+
+  private synchronized Optional<QueuedTicket> takeNext() {
+    if (running >= limit || queue.isEmpty()) {
+      return Optional.empty();
+    }
+    QueuedTicket next = queue.pollFirst();
+    running++;
+    next.granted().set(true);
+    virtualTime = Math.max(virtualTime, next.fairStart());
+    forgetIdleAccounts();
+    return Optional.of(next);
+  }
+
+  private void forgetIdleAccounts() {
+    if (queue.isEmpty()) {
+      finishOfAccount.clear();
+      virtualTime = 0;
+    }
+  }
+
+  private void giveBack(AtomicBoolean granted) {
+    if (granted.compareAndSet(true, false)) {
+      release();
+      startNext();
+    }
+  }
+
+  private synchronized void release() {
+    running--;
+  }
+
+  private synchronized boolean isWaiting(QueuedTicket queued) {
+    return queue.contains(queued);
+  }
+
+  private synchronized boolean leave(QueuedTicket queued) {
+    return queue.remove(queued);
+  }
+
+  private void expire(QueuedTicket queued) {
+    if (leave(queued)) {
+      queued.refuse(unreachable(queued.ticket()));
+    }
+  }
+
+  private Duration expectedWait(QueuedTicket queued) {
+    if (running < limit) {
+      return Duration.ZERO;
+    }
+    int ahead = queue.headSet(queued).size();
+    return times.typical().multipliedBy(ahead + 1L).dividedBy(limit);
+  }
+
+  private RefusalException unreachable(StageTicket ticket) {
+    Duration wait = times.typical().multipliedBy(queued() + 1L).dividedBy(Math.max(1, limit));
+    return RefusalException.because(RefusalReason.DEADLINE_UNREACHABLE)
+        .stage(stage)
+        .detail(
+            "the remaining stages take about "
+                + ticket.remaining().toMillis()
+                + " ms and "
+                + ticket.deadline().left().toMillis()
+                + " ms are left")
+        .retryAfter(wait)
+        .build();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/caller/CallerRequestReader.java
@@ -0,0 +1,78 @@
+package org.gradeledge.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.gradeledge.configuration.TextDigest;
+import org.gradeledge.document.JsonMappers;
+import org.gradeledge.http.BearerTokens;
+import org.gradeledge.request.CallerRequest;
+import org.gradeledge.verdict.RefusalException;
+import org.gradeledge.verdict.RefusalReason;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** Makes a caller's request of its head and body, or refuses it with what is wrong. */
+abstract class CallerRequestReader {
+
+  private static final int LONGEST_KEY = 255;
+
+  private CallerRequestReader() {}
+
+  static CallerRequest read(String requestId, HttpServerRequest request, byte[] body) {
+    return new CallerRequest(
+        requestId,
+        Objects.requireNonNull(request.param("pipeline")),
+        BearerTokens.digest(request),
+        deadline(request.requestHeaders().get("Gradeledge-Deadline-Ms")),
+        idempotencyKey(request.requestHeaders().get("Idempotency-Key")),
+        TextDigest.sha256(body),
+        object(body));
+  }
+
+  private static OptionalLong deadline(@org.jspecify.annotations.Nullable String header) {
+    if (header == null) {
+      return OptionalLong.empty();
+    }
+    try {
+      return OptionalLong.of(Long.parseLong(header.strip()));
+    } catch (NumberFormatException e) {
+      throw RefusalException.because(RefusalReason.DEADLINE_INVALID)
+          .detail("Gradeledge-Deadline-Ms must be a whole number of milliseconds")
+          .cause(e)
+          .build();
+    }
+  }
+
+  private static Optional<String> idempotencyKey(@org.jspecify.annotations.Nullable String header) {
+    if (header == null) {
+      return Optional.empty();
+    }
+    if (header.isBlank() || header.length() > LONGEST_KEY) {
+      throw malformed("Idempotency-Key must have 1 to " + LONGEST_KEY + " characters", null);
+    }
+    return Optional.of(header.strip());
+  }
+
+  private static ObjectNode object(byte[] body) {
+    try {
+      JsonNode node = JsonMappers.json().readTree(body);
+      if (node instanceof ObjectNode object) {
+        return object;
+      }
+      throw malformed("the body must be a JSON object", null);
+    } catch (IOException e) {
+      throw malformed("the body must be valid JSON", e);
+    }
+  }
+
+  private static RefusalException malformed(
+      String detail, @org.jspecify.annotations.Nullable Throwable cause) {
+    return RefusalException.because(RefusalReason.MALFORMED_REQUEST)
+        .detail(detail)
+        .cause(cause)
+        .build();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/caller/package-info.java
@@ -0,0 +1,5 @@
+/** The HTTP interface that callers use. */
+@NullMarked
+package org.gradeledge.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerCodec.java
@@ -0,0 +1,40 @@
+package org.gradeledge.peer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Writes and reads messages in MessagePack; bad bytes give a {@link PeerException}. */
+final class PeerCodec {
+
+  private final ObjectMapper mapper =
+      new ObjectMapper(new MessagePackFactory())
+          .registerModule(new Jdk8Module())
+          .registerModule(new ParameterNamesModule())
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  byte[] encode(Object message) {
+    try {
+      return mapper.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("message must be writable as MessagePack", e);
+    }
+  }
+
+  <T> T decode(byte[] bytes, Class<T> type) {
+    try {
+      T message = mapper.readValue(bytes, type);
+      if (message == null) {
+        throw new PeerException("a frame must hold a message of " + type.getSimpleName(), null);
+      }
+      return message;
+    } catch (IOException | RuntimeException e) {
+      throw new PeerException("a frame must hold a valid " + type.getSimpleName(), e);
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerConnection.java
@@ -0,0 +1,199 @@
+package org.gradeledge.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+import reactor.netty.NettyInbound;
+import reactor.netty.NettyOutbound;
+
+/**
+ * One connection to a peer, from greeting to close. {@link #run} is its one task; sending is
+ * thread-safe.
+ */
+final class PeerConnection {
+
+  private static final String HELLO = "hello";
+  private static final String PROOF = "proof";
+  private static final Duration GREETING_LIMIT = Duration.ofSeconds(2);
+  private static final int HANDLED_AT_A_TIME = 64;
+  private static final int QUEUED_FRAMES = 1024;
+
+  private final PeerContext context;
+  private final boolean dialed;
+  private final Connection connection;
+  private final PeerHello ownHello;
+  private final Sinks.Many<PeerFrame> outgoing =
+      Sinks.many()
+          .unicast()
+          .onBackpressureBuffer(new java.util.concurrent.ArrayBlockingQueue<>(QUEUED_FRAMES));
+  private final Map<Long, Sinks.One<byte[]>> awaited = new ConcurrentHashMap<>();
+  private final AtomicLong correlations = new AtomicLong();
+  private volatile @Nullable PeerHello otherHello;
+  private volatile boolean open;
+
+  PeerConnection(PeerContext context, boolean dialed, Connection connection) {
+    this.context = context;
+    this.dialed = dialed;
+    this.connection = connection;
+    this.ownHello = context.newHello();
+  }
+
+  /** Greets, then handles frames until either side closes. */
+  Publisher<Void> run(NettyInbound inbound, NettyOutbound outbound) {
+    enqueue(new PeerFrame(HELLO, 0, false, context.codec().encode(ownHello)));
+    Mono<Void> sending =
+        outbound.send(outgoing.asFlux().map(this::encodeAndCount), frame -> true).then();
+    Mono<Void> receiving =
+        inbound
+            .receive()
+            .asByteArray()
+            .index()
+            .flatMapSequential(frame -> receive(frame.getT1(), frame.getT2()), HANDLED_AT_A_TIME)
+            .then();
+    Mono<Void> greetingLimit =
+        Mono.delay(GREETING_LIMIT)
+            .flatMap(tick -> open ? Mono.<Void>never() : Mono.error(refused("greeting too slow")));
+    return Mono.firstWithSignal(sending, receiving, greetingLimit)
+        .doOnError(e -> Logger.debug(e, "peer connection ended"))
+        .onErrorComplete()
+        .doFinally(signal -> close());
+  }
+
+  boolean isOpen() {
+    return open;
+  }
+
+  boolean dialedBySmaller() {
+    String other = identity().boxId();
+    return dialed == (ownHello.boxId().compareTo(other) < 0);
+  }
+
+  PeerIdentity identity() {
+    PeerHello hello = otherHello;
+    return hello == null
+        ? new PeerIdentity("", 0)
+        : new PeerIdentity(hello.boxId(), hello.incarnation());
+  }
+
+  void tell(String type, byte[] body) {
+    enqueue(new PeerFrame(type, 0, false, body));
+  }
+
+  Mono<byte[]> ask(String type, byte[] body, Duration limit) {
+    return Mono.defer(
+        () -> {
+          long correlation = correlations.incrementAndGet();
+          Sinks.One<byte[]> answer = Sinks.one();
+          awaited.put(correlation, answer);
+          enqueue(new PeerFrame(type, correlation, false, body));
+          return answer.asMono().timeout(limit).doFinally(signal -> awaited.remove(correlation));
+        });
+  }
+
+  void close() {
+    boolean wasOpen = open;
+    open = false;
+    outgoing.tryEmitComplete();
+    awaited.values().forEach(sink -> sink.tryEmitError(refused("connection closed")));
+    connection.dispose();
+    if (wasOpen) {
+      context.closed(this);
+    }
+  }
+
+  private Mono<Void> receive(long index, byte[] bytes) {
+    PeerFrame frame = context.codec().decode(bytes, PeerFrame.class);
+    if (index == 0) {
+      return greet(frame);
+    }
+    if (index == 1) {
+      return checkProof(frame);
+    }
+    count(frame.type(), "in", bytes.length);
+    return frame.answer() ? completeAwaited(frame) : handle(frame);
+  }
+
+  private Mono<Void> greet(PeerFrame frame) {
+    PeerHello hello = context.codec().decode(expect(HELLO, frame).body(), PeerHello.class);
+    if (hello.protocolVersion() != PeerHello.PROTOCOL_VERSION) {
+      return Mono.error(refused("protocol version " + hello.protocolVersion() + " is not spoken"));
+    }
+    otherHello = hello;
+    byte[] proof = context.secret().proof(hello.nonce(), ownHello, dialed);
+    enqueue(new PeerFrame(PROOF, 0, false, context.codec().encode(proof)));
+    return Mono.empty();
+  }
+
+  private Mono<Void> checkProof(PeerFrame frame) {
+    byte[] proof = context.codec().decode(expect(PROOF, frame).body(), byte[].class);
+    PeerHello hello = Optional.ofNullable(otherHello).orElseThrow();
+    if (!context.secret().accepts(proof, ownHello.nonce(), hello, !dialed)) {
+      context.metrics().stateChange("peer-refused");
+      return Mono.error(refused("the secret is not the same"));
+    }
+    open = true;
+    if (!context.opened(this)) {
+      return Mono.error(refused("another connection to the same peer is kept"));
+    }
+    return Mono.empty();
+  }
+
+  private Mono<Void> handle(PeerFrame frame) {
+    return context
+        .handlers()
+        .handle(identity(), frame)
+        .doOnNext(body -> enqueue(new PeerFrame(frame.type(), frame.correlation(), true, body)))
+        .doOnError(e -> Logger.debug(e, "peer message {} failed", frame.type()))
+        .onErrorComplete()
+        .then();
+  }
+
+  private Mono<Void> completeAwaited(PeerFrame frame) {
+    Optional.ofNullable(awaited.get(frame.correlation()))
+        .ifPresent(sink -> sink.tryEmitValue(frame.body()));
+    return Mono.empty();
+  }
+
+  private void enqueue(PeerFrame frame) {
+    Sinks.EmitResult result;
+    synchronized (outgoing) {
+      result = outgoing.tryEmitNext(frame);
+    }
+    if (result == Sinks.EmitResult.FAIL_OVERFLOW) {
+      connection.dispose();
+    }
+  }
+
+  private ByteBuf encodeAndCount(PeerFrame frame) {
+    byte[] bytes = context.codec().encode(frame);
+    count(frame.type(), "out", bytes.length);
+    ByteBuf framed = Unpooled.buffer(PeerTransport.LENGTH_BYTES + bytes.length);
+    return framed.writeInt(bytes.length).writeBytes(bytes);
+  }
+
+  private void count(String type, String direction, int bytes) {
+    String known = context.handlers().knows(type) ? type : "other";
+    context.metrics().peerMessage(known, direction, bytes + PeerTransport.LENGTH_BYTES);
+  }
+
+  private static PeerFrame expect(String type, PeerFrame frame) {
+    if (!type.equals(frame.type())) {
+      throw refused("expected " + type + " but got another frame");
+    }
+    return frame;
+  }
+
+  private static PeerException refused(String why) {
+    return new PeerException(why, null);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerContext.java
@@ -0,0 +1,24 @@
+package org.gradeledge.peer;
+
+import org.gradeledge.metrics.BoxMetrics;
+
+/** What a connection needs of the network that it belongs to. */
+interface PeerContext {
+
+  PeerCodec codec();
+
+  PeerSecret secret();
+
+  PeerHandlers handlers();
+
+  BoxMetrics metrics();
+
+  /** Returns a new greeting of this box. */
+  PeerHello newHello();
+
+  /** Called once the other side is proved; returns whether the connection is to be kept. */
+  boolean opened(PeerConnection connection);
+
+  /** Called once an opened connection is closed. */
+  void closed(PeerConnection connection);
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
@@ -0,0 +1,208 @@
+package org.gradeledge.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.gradeledge.metrics.BoxMetrics;
+import org.tinylog.Logger;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.util.retry.Retry;
+
+/**
+ * All connections of a box to its peers: one connection a pair, one task a peer that keeps it up.
+ *
+ * <p>Either side may dial; where both have, the connection dialed by the box with the smaller name
+ * is kept. Thread-safe.
+ *
+ * @since 0.1
+ */
+public final class PeerNetwork implements PeerContext {
+
+  private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
+  private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(1);
+  private static final double JITTER = 0.5;
+
+  private final String boxId;
+  private final PeerSecret secret;
+  private final PeerTransport transport;
+  private final BoxMetrics metrics;
+  private final PeerCodec codec = new PeerCodec();
+  private final PeerHandlers handlers = new PeerHandlers(codec);
+  private final Map<String, PeerConnection> open = new ConcurrentHashMap<>();
+  private final Map<PeerAddress, Disposable> tasks = new ConcurrentHashMap<>();
+  private volatile long incarnation;
+
+  /** Creates the network of a box; it neither listens nor dials yet. */
+  public PeerNetwork(String boxId, PeerSecret secret, PeerTransport transport, BoxMetrics metrics) {
+    this.boxId = boxId;
+    this.secret = secret;
+    this.transport = transport;
+    this.metrics = metrics;
+  }
+
+  /** Handles messages of a type from now on. */
+  public <T> void register(PeerMessageType<T> type, PeerHandler<T> handler) {
+    handlers.register(type, handler);
+  }
+
+  /** Starts to listen. */
+  public Mono<? extends DisposableServer> listen(InetSocketAddress address) {
+    return transport.listen(address, this);
+  }
+
+  /** Sets the incarnation that greetings name; connections made under an older one are closed. */
+  public void setIncarnation(long value) {
+    incarnation = value;
+    open.values().forEach(PeerConnection::close);
+  }
+
+  /** Sets which peers to be connected with; tasks of others end. */
+  public synchronized void setPeers(Collection<PeerAddress> peers) {
+    Set<PeerAddress> wanted = Set.copyOf(peers);
+    tasks.keySet().stream()
+        .filter(address -> !wanted.contains(address))
+        .toList()
+        .forEach(this::stopTask);
+    wanted.stream()
+        .filter(address -> !tasks.containsKey(address))
+        .forEach(address -> tasks.put(address, startTask(address)));
+  }
+
+  /** Returns the peers whose connections are up. */
+  public Set<PeerIdentity> connected() {
+    return open.values().stream().map(PeerConnection::identity).collect(Collectors.toSet());
+  }
+
+  /** Sends a message if the peer is connected, else does nothing. */
+  public <T> void tell(String peerId, PeerMessageType<T> type, T message) {
+    PeerConnection connection = open.get(peerId);
+    if (connection != null) {
+      connection.tell(type.name(), codec.encode(message));
+    }
+  }
+
+  /** Sends a message to all connected peers. */
+  public <T> void tellAll(PeerMessageType<T> type, T message) {
+    byte[] body = codec.encode(message);
+    open.values().forEach(connection -> connection.tell(type.name(), body));
+  }
+
+  /**
+   * Sends a message and returns the peer's answer; fails with {@link PeerException} where the peer
+   * is not connected or does not answer within the limit.
+   */
+  public <T, A> Mono<A> ask(
+      String peerId, PeerMessageType<T> type, T message, Class<A> answerType, Duration limit) {
+    return Mono.defer(
+            () -> {
+              PeerConnection connection = open.get(peerId);
+              return connection == null
+                  ? Mono.<byte[]>error(new PeerException(peerId + " is not connected", null))
+                  : connection.ask(type.name(), codec.encode(message), limit);
+            })
+        .map(body -> codec.decode(body, answerType))
+        .onErrorMap(
+            e -> !(e instanceof PeerException),
+            e -> new PeerException(peerId + " did not answer " + type.name(), e));
+  }
+
+  /** Closes all connections and ends all tasks. */
+  public synchronized void close() {
+    tasks.keySet().stream().toList().forEach(this::stopTask);
+    open.values().forEach(PeerConnection::close);
+  }
+
+  private Disposable startTask(PeerAddress peer) {
+    return Mono.defer(() -> dialUnlessOpen(peer))
+        .then(Mono.error(() -> new PeerException(peer.boxId() + " is not connected", null)))
+        .retryWhen(
+            Retry.backoff(Long.MAX_VALUE, FIRST_BACKOFF)
+                .maxBackoff(LONGEST_BACKOFF)
+                .jitter(JITTER)
+                .transientErrors(true))
+        .subscribe(ignored -> {}, e -> Logger.error(e, "task of peer {} ended", peer.boxId()));
+  }
+
+  private Mono<Void> dialUnlessOpen(PeerAddress peer) {
+    PeerConnection connection = open.get(peer.boxId());
+    boolean current =
+        connection != null
+            && connection.isOpen()
+            && connection.identity().incarnation() >= peer.incarnation();
+    return current ? Mono.empty() : transport.dial(peer.socketAddress(), this);
+  }
+
+  private void stopTask(PeerAddress address) {
+    Disposable task = tasks.remove(address);
+    if (task != null) {
+      task.dispose();
+    }
+    PeerConnection connection = open.get(address.boxId());
+    if (connection != null && connection.identity().incarnation() <= address.incarnation()) {
+      connection.close();
+    }
+  }
+
+  @Override
+  public synchronized boolean opened(PeerConnection connection) {
+    PeerIdentity identity = connection.identity();
+    PeerConnection existing = open.get(identity.boxId());
+    if (existing != null && existing.isOpen() && prefers(existing, connection)) {
+      return false;
+    }
+    open.put(identity.boxId(), connection);
+    if (existing != null) {
+      existing.close();
+    }
+    metrics.stateChange("peer-connected");
+    Logger.info("peer connected: box={} incarnation={}", identity.boxId(), identity.incarnation());
+    return true;
+  }
+
+  private static boolean prefers(PeerConnection existing, PeerConnection other) {
+    long existingIncarnation = existing.identity().incarnation();
+    long otherIncarnation = other.identity().incarnation();
+    return existingIncarnation == otherIncarnation
+        ? existing.dialedBySmaller() && !other.dialedBySmaller()
+        : existingIncarnation > otherIncarnation;
+  }
+
+  @Override
+  public void closed(PeerConnection connection) {
+    if (open.remove(connection.identity().boxId(), connection)) {
+      metrics.stateChange("peer-lost");
+      Logger.info("peer lost: box={}", connection.identity().boxId());
+    }
+  }
+
+  @Override
+  public PeerHello newHello() {
+    return new PeerHello(PeerHello.PROTOCOL_VERSION, boxId, incarnation, secret.newNonce());
+  }
+
+  @Override
+  public PeerCodec codec() {
+    return codec;
+  }
+
+  @Override
+  public PeerSecret secret() {
+    return secret;
+  }
+
+  @Override
+  public PeerHandlers handlers() {
+    return handlers;
+  }
+
+  @Override
+  public BoxMetrics metrics() {
+    return metrics;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
@@ -0,0 +1,72 @@
+package org.gradeledge.peer;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.ssl.SslContext;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * TCP between boxes: length-prefixed frames of capped size, under TLS where contexts are given.
+ *
+ * @since 0.1
+ */
+public final class PeerTransport {
+
+  static final int LENGTH_BYTES = 4;
+  private static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+  private static final int CONNECT_MILLIS = 1_000;
+
+  private final Optional<SslContext> serverTls;
+  private final Optional<SslContext> clientTls;
+
+  /** Creates the transport; plain TCP where the contexts are absent. */
+  public PeerTransport(Optional<SslContext> serverTls, Optional<SslContext> clientTls) {
+    this.serverTls = serverTls;
+    this.clientTls = clientTls;
+  }
+
+  Mono<? extends DisposableServer> listen(InetSocketAddress address, PeerContext context) {
+    TcpServer server =
+        TcpServer.create()
+            .bindAddress(() -> address)
+            .doOnConnection(PeerTransport::addFraming)
+            .handle(
+                (in, out) -> {
+                  Connection[] held = new Connection[1];
+                  in.withConnection(connection -> held[0] = connection);
+                  return new PeerConnection(context, false, held[0]).run(in, out);
+                });
+    return serverTls.map(tls -> server.secure(spec -> spec.sslContext(tls))).orElse(server).bind();
+  }
+
+  /** Dials, and completes once the connection is closed again. */
+  Mono<Void> dial(InetSocketAddress address, PeerContext context) {
+    TcpClient client =
+        TcpClient.newConnection()
+            .remoteAddress(() -> address)
+            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .doOnConnected(PeerTransport::addFraming);
+    return clientTls
+        .map(tls -> client.secure(spec -> spec.sslContext(tls)))
+        .orElse(client)
+        .connect()
+        .flatMap(
+            connection ->
+                Mono.from(
+                        new PeerConnection(context, true, connection)
+                            .run(connection.inbound(), connection.outbound()))
+                    .doFinally(signal -> connection.dispose()));
+  }
+
+  private static void addFraming(Connection connection) {
+    ChannelHandler decoder =
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+    connection.addHandlerLast("frame-decoder", decoder);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/BoxState.java
@@ -0,0 +1,29 @@
+package org.gradeledge.platform;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Locale;
+
+/**
+ * What the platform's list says of a box.
+ *
+ * @since 0.1
+ */
+public enum BoxState {
+  /** Up, and to be given work. */
+  LIVE,
+  /** Up, but to be given no new work. */
+  LEAVING;
+
+  /** Returns the state with the given name on the wire. */
+  @JsonCreator
+  public static BoxState ofWireName(String name) {
+    return valueOf(name.toUpperCase(Locale.ROOT));
+  }
+
+  /** Returns the name on the wire. */
+  @JsonValue
+  public String wireName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpBoxList.java
@@ -0,0 +1,46 @@
+package org.gradeledge.platform;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import org.gradeledge.metrics.BoxMetrics;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * The box list over HTTP and JSON. Thread-safe.
+ *
+ * @since 0.1
+ */
+public final class HttpBoxList implements BoxList {
+
+  private static final String PATH = "/v1/boxes";
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+
+  private final HttpPlatformClient http;
+
+  /** Creates a client of the list at a base address; a call takes at most {@code limit}. */
+  public HttpBoxList(HttpClient client, URI base, Duration limit, BoxMetrics metrics) {
+    this.http = new HttpPlatformClient(client, base, limit, metrics);
+  }
+
+  @Override
+  public Mono<List<ListedBox>> list() {
+    return http.call(HttpMethod.GET, PATH, null, OK)
+        .map(answer -> HttpPlatformClient.decode(answer.body(), new TypeReference<>() {}));
+  }
+
+  @Override
+  public Mono<Void> announce(ListedBox box) {
+    return http.call(HttpMethod.PUT, PATH + "/" + box.id(), HttpPlatformClient.encode(box), OK)
+        .then();
+  }
+
+  @Override
+  public Mono<Void> withdraw(String id) {
+    return http.call(HttpMethod.DELETE, PATH + "/" + id, null, OK, NOT_FOUND).then();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpPlatformAnswer.java
@@ -0,0 +1,4 @@
+package org.gradeledge.platform;
+
+/** Status and body of the platform's answer. */
+record HttpPlatformAnswer(int status, byte[] body) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpTableService.java
@@ -0,0 +1,45 @@
+package org.gradeledge.platform;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import org.gradeledge.metrics.BoxMetrics;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * The table service over HTTP and JSON. Thread-safe.
+ *
+ * @since 0.1
+ */
+public final class HttpTableService implements TableService {
+
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+
+  private final HttpPlatformClient http;
+
+  /** Creates a client of the service at a base address; a call takes at most {@code limit}. */
+  public HttpTableService(HttpClient client, URI base, Duration limit, BoxMetrics metrics) {
+    this.http = new HttpPlatformClient(client, base, limit, metrics);
+  }
+
+  @Override
+  public Mono<CommitResult> commit(TableTransaction transaction) {
+    return http.call(
+            HttpMethod.POST,
+            "/v1/table/commit",
+            HttpPlatformClient.encode(transaction),
+            OK,
+            CONFLICT)
+        .map(answer -> HttpPlatformClient.decode(answer.body(), new TypeReference<>() {}));
+  }
+
+  @Override
+  public Mono<List<TableRow>> read(List<String> prefixes) {
+    return http.call(HttpMethod.POST, "/v1/table/read", HttpPlatformClient.encode(prefixes), OK)
+        .map(answer -> HttpPlatformClient.decode(answer.body(), new TypeReference<>() {}));
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/request/StageRunner.java
@@ -0,0 +1,202 @@
+package org.gradeledge.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.gradeledge.admission.RetryBudget;
+import org.gradeledge.admission.StageTicket;
+import org.gradeledge.configuration.StageDefinition;
+import org.gradeledge.metrics.AttemptResult;
+import org.gradeledge.metrics.BoxMetrics;
+import org.gradeledge.metrics.StageCost;
+import org.gradeledge.routing.Router;
+import org.gradeledge.routing.UpstreamState;
+import org.gradeledge.time.MonotonicClock;
+import org.gradeledge.upstream.UpstreamCall;
+import org.gradeledge.upstream.UpstreamEvent;
+import org.gradeledge.upstream.UpstreamException;
+import org.gradeledge.upstream.UpstreamProtocol;
+import org.gradeledge.verdict.RefusalException;
+import org.gradeledge.verdict.RefusalReason;
+import org.gradeledge.verdict.Verdict;
+import reactor.core.publisher.Flux;
+
+/**
+ * Runs one stage of a request: waits for a permit, chooses an upstream at dispatch, calls it, and
+ * tries again where that cannot do harm.
+ *
+ * <p>A stage goes again only where it is repeatable or the upstream said that it did not run, where
+ * the retry budget allows it and the deadline has not passed. A stream goes on after its last
+ * token.
+ */
+final class StageRunner {
+
+  private static final int MOST_ATTEMPTS = 3;
+
+  private final Router router;
+  private final UpstreamProtocol protocol;
+  private final BoxMetrics metrics;
+  private final MonotonicClock clock;
+  private final RetryBudget budget = new RetryBudget();
+
+  StageRunner(Router router, UpstreamProtocol protocol, BoxMetrics metrics, MonotonicClock clock) {
+    this.router = router;
+    this.protocol = protocol;
+    this.metrics = metrics;
+    this.clock = clock;
+  }
+
+  /** Returns the events of a stage: tokens where it streams, then one answer. */
+  Flux<UpstreamEvent> run(RequestContext context, int stageIndex, JsonNode input) {
+    return Flux.defer(
+        () -> {
+          budget.firstAttempt(context.file().retryShare());
+          return new Run(context, stageIndex, input).attempt();
+        });
+  }
+
+  /** The attempts of one stage of one request; used by one subscriber. */
+  private final class Run {
+
+    private final RequestContext context;
+    private final StageDefinition stage;
+    private final int stageIndex;
+    private final JsonNode input;
+    private final Set<String> tried = new HashSet<>();
+    private int attempts;
+    private long lastOffset = -1;
+
+    Run(RequestContext context, int stageIndex, JsonNode input) {
+      this.context = context;
+      this.stageIndex = stageIndex;
+      this.stage = context.file().stages().get(stageIndex);
+      this.input = input;
+    }
+
+    Flux<UpstreamEvent> attempt() {
+      return context
+          .limits()
+          .limiter(stage)
+          .acquire(ticket())
+          .flatMapMany(release -> dispatch().doFinally(signal -> release.run()))
+          .onErrorResume(UpstreamException.class, this::againOrRefuse);
+    }
+
+    private StageTicket ticket() {
+      var rest = context.file().stages().subList(stageIndex, context.file().stages().size());
+      return new StageTicket(
+          context.account(), context.deadline(), context.limits().expected(rest));
+    }
+
+    private Flux<UpstreamEvent> dispatch() {
+      if (context.deadline().passed()) {
+        return Flux.error(refusal(RefusalReason.DEADLINE_PASSED, Verdict.NOT_RUN, null));
+      }
+      String affinity = stage.kind().streams() ? context.account().name() : "";
+      return router
+          .route(context.file(), stage, tried, affinity)
+          .map(this::call)
+          .orElseGet(() -> Flux.error(refusal(RefusalReason.NO_UPSTREAM, Verdict.NOT_RUN, null)));
+    }
+
+    private Flux<UpstreamEvent> call(UpstreamState upstream) {
+      attempts++;
+      tried.add(upstream.definition().id());
+      upstream.started();
+      context.progress().callStarted();
+      CallEnd end = new CallEnd(upstream, clock.nanos());
+      return protocol
+          .call(upstreamCall(upstream))
+          .doOnNext(end::note)
+          .doOnComplete(() -> end.finish(AttemptResult.USED, Verdict.MAY_HAVE_RUN))
+          .doOnError(UpstreamException.class, e -> end.finish(AttemptResult.FAILED, e.verdict()))
+          .doOnCancel(() -> end.finish(AttemptResult.CANCELLED, Verdict.MAY_HAVE_RUN));
+    }
+
+    private UpstreamCall upstreamCall(UpstreamState upstream) {
+      return new UpstreamCall(
+          context.request().requestId(),
+          stage,
+          attempts,
+          upstream.definition(),
+          input,
+          context.deadline().left(),
+          stage.repeatable() ? "" : context.request().idempotencyKey().orElse(""),
+          lastOffset < 0 ? OptionalLong.empty() : OptionalLong.of(lastOffset));
+    }
+
+    private Flux<UpstreamEvent> againOrRefuse(UpstreamException e) {
+      boolean harmless = stage.repeatable() || e.verdict().allowsRepeat();
+      boolean again =
+          harmless
+              && attempts < MOST_ATTEMPTS
+              && !context.deadline().passed()
+              && budget.takeExtra();
+      return again ? attempt() : Flux.error(refusal(e.reason(), e.verdict(), e));
+    }
+
+    private RefusalException refusal(
+        RefusalReason reason, Verdict verdict, @org.jspecify.annotations.Nullable Throwable cause) {
+      return RefusalException.because(reason)
+          .verdict(verdict)
+          .stage(stage.name())
+          .detail(cause == null ? null : cause.getMessage())
+          .cause(cause)
+          .build();
+    }
+
+    /** What one call came to; tells the upstream's state, the times and the metrics once. */
+    private final class CallEnd {
+
+      private final UpstreamState upstream;
+      private final long startNanos;
+      private long tokensIn;
+      private long tokensOut;
+      private boolean ended;
+
+      CallEnd(UpstreamState upstream, long startNanos) {
+        this.upstream = upstream;
+        this.startNanos = startNanos;
+      }
+
+      void note(UpstreamEvent event) {
+        if (event instanceof UpstreamEvent.Token token) {
+          lastOffset = token.offset();
+          tokensOut++;
+        } else if (event instanceof UpstreamEvent.Answer answer) {
+          tokensIn = answer.tokensIn();
+          tokensOut = Math.max(tokensOut, answer.tokensOut());
+        }
+      }
+
+      synchronized void finish(AttemptResult result, Verdict verdict) {
+        if (ended) {
+          return;
+        }
+        ended = true;
+        context.progress().callEnded(verdict);
+        long nanos = clock.nanos() - startNanos;
+        switch (result) {
+          case USED -> {
+            upstream.succeeded(nanos);
+            context.limits().times(stage).record(nanos);
+          }
+          case FAILED -> upstream.failed();
+          default -> upstream.cancelled();
+        }
+        metrics
+            .costs()
+            .add(
+                new StageCost(
+                    context.file().pipeline(),
+                    stage.name(),
+                    context.account().name(),
+                    result,
+                    nanos,
+                    tokensIn,
+                    tokensOut));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/synchronization/LoadReportReader.java
@@ -0,0 +1,35 @@
+package org.gradeledge.synchronization;
+
+import org.gradeledge.routing.UpstreamDirectory;
+import org.gradeledge.routing.UpstreamState;
+import org.gradeledge.upstream.UpstreamProtocol;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * One round of asking every upstream for its load.
+ *
+ * @since 0.1
+ */
+public final class LoadReportReader {
+
+  private static final int AT_A_TIME = 16;
+
+  private final UpstreamDirectory upstreams;
+  private final UpstreamProtocol protocol;
+
+  /** Creates a reader. */
+  public LoadReportReader(UpstreamDirectory upstreams, UpstreamProtocol protocol) {
+    this.upstreams = upstreams;
+    this.protocol = protocol;
+  }
+
+  /** Asks all upstreams; those that do not answer keep their last report. */
+  public Mono<Void> readAll() {
+    return Flux.fromIterable(upstreams.all()).flatMap(this::readOne, AT_A_TIME).then();
+  }
+
+  private Mono<Void> readOne(UpstreamState state) {
+    return protocol.load(state.definition()).doOnNext(state::report).onErrorComplete().then();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/synchronization/PlatformReader.java
@@ -0,0 +1,173 @@
+package org.gradeledge.synchronization;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.gradeledge.change.ChangeHeads;
+import org.gradeledge.change.ChangeService;
+import org.gradeledge.configuration.PipelineVersion;
+import org.gradeledge.membership.GoneMembers;
+import org.gradeledge.membership.MemberRow;
+import org.gradeledge.membership.MemberSet;
+import org.gradeledge.membership.Membership;
+import org.gradeledge.membership.MembershipService;
+import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.platform.BoxList;
+import org.gradeledge.platform.BoxState;
+import org.gradeledge.platform.ListedBox;
+import org.gradeledge.platform.TableRow;
+import org.gradeledge.platform.TableService;
+import org.gradeledge.routing.UpstreamDirectory;
+import org.gradeledge.time.MonotonicClock;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * One round of reading the platform: versions and members from the table, live and leaving boxes
+ * from the list. Rounds must not overlap.
+ *
+ * <p>A round costs one read of the table; a second one where the members have changed.
+ *
+ * @since 0.1
+ */
+public final class PlatformReader {
+
+  private static final List<String> HEADS = List.of("head/");
+
+  private final TableService table;
+  private final BoxList boxList;
+  private final Membership membership;
+  private final MembershipService membershipService;
+  private final ChangeService changes;
+  private final PeerNetwork peers;
+  private final UpstreamDirectory upstreams;
+  private final GoneMembers gone;
+  private final MonotonicClock clock;
+  private final Supplier<Mono<Void>> rejoin;
+
+  /**
+   * Creates a reader.
+   *
+   * @param rejoin called where a read shows that this box is no longer a member
+   */
+  public PlatformReader(
+      TableService table,
+      BoxList boxList,
+      Membership membership,
+      ChangeService changes,
+      PeerNetwork peers,
+      UpstreamDirectory upstreams,
+      GoneMembers gone,
+      MonotonicClock clock,
+      Supplier<Mono<Void>> rejoin) {
+    this.table = table;
+    this.boxList = boxList;
+    this.membership = membership;
+    this.membershipService = new MembershipService(table);
+    this.changes = changes;
+    this.peers = peers;
+    this.upstreams = upstreams;
+    this.gone = gone;
+    this.clock = clock;
+    this.rejoin = rejoin;
+  }
+
+  /** Reads the table, takes on what it says, then counts it as a confirmation. */
+  public Mono<Void> readTable() {
+    return Mono.defer(
+        () -> {
+          long startNanos = clock.nanos();
+          long incarnation = membership.incarnation();
+          List<PipelineVersion> open = changes.learner().openBeforeRead();
+          return table
+              .read(HEADS)
+              .flatMap(
+                  rows ->
+                      readMembersIfChanged(rows)
+                          .then(learn(ChangeHeads.of(rows), open))
+                          .then(confirmOrRejoin(incarnation, startNanos)));
+        });
+  }
+
+  /** Reads the list; marks and removes members that it no longer shows. */
+  public Mono<Void> readList() {
+    return boxList
+        .list()
+        .doOnError(e -> gone.listUnknown())
+        .flatMap(
+            boxes -> {
+              noteLeavingUpstreams(boxes);
+              Set<String> listed = boxes.stream().map(ListedBox::id).collect(Collectors.toSet());
+              MemberSet members = membership.members();
+              gone.observe(members, listed);
+              return removeGone(members);
+            });
+  }
+
+  private Mono<Void> readMembersIfChanged(List<TableRow> heads) {
+    long revision = MemberSet.of(heads).revision();
+    if (revision == membership.members().revision()) {
+      return Mono.empty();
+    }
+    return membershipService
+        .read()
+        .doOnNext(
+            members -> {
+              membership.update(members);
+              connectToMembers();
+            })
+        .then();
+  }
+
+  private Mono<Void> learn(ChangeHeads heads, List<PipelineVersion> open) {
+    return changes.learner().learn(heads, open).then(changes.abandoned().observe(heads));
+  }
+
+  private Mono<Void> confirmOrRejoin(long incarnation, long startNanos) {
+    return Mono.defer(
+        () -> {
+          if (membership.members().confirms(membership.boxId(), incarnation)) {
+            membership.confirmed(incarnation, startNanos);
+            return Mono.empty();
+          }
+          return rejoin.get();
+        });
+  }
+
+  private void connectToMembers() {
+    peers.setPeers(
+        membership.members().members().values().stream()
+            .filter(member -> !member.boxId().equals(membership.boxId()))
+            .map(MemberRow::address)
+            .toList());
+  }
+
+  private Mono<Void> removeGone(MemberSet members) {
+    Mono<Void> marking =
+        Flux.fromIterable(gone.toMark(members))
+            .filter(member -> !member.boxId().equals(membership.boxId()))
+            .concatMap(member -> membershipService.markRemoving(members, member))
+            .then();
+    Mono<Void> removing =
+        Flux.fromIterable(gone.toRemove(members))
+            .concatMap(member -> membershipService.delete(members, member.boxId()))
+            .then();
+    return marking.then(removing);
+  }
+
+  private void noteLeavingUpstreams(List<ListedBox> boxes) {
+    Set<String> leaving =
+        boxes.stream()
+            .filter(box -> box.state() == BoxState.LEAVING)
+            .map(ListedBox::address)
+            .collect(Collectors.toSet());
+    upstreams
+        .all()
+        .forEach(
+            state -> {
+              String address = state.definition().host() + ":" + state.definition().port();
+              state.listedLeaving(leaving.contains(address));
+            });
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/time/MonotonicClock.java
@@ -0,0 +1,18 @@
+package org.gradeledge.time;
+
+/**
+ * A clock that never goes back and goes on while the process is frozen.
+ *
+ * @since 0.1
+ */
+@FunctionalInterface
+public interface MonotonicClock {
+
+  /** Returns nanoseconds since an arbitrary origin; only differences mean anything. */
+  long nanos();
+
+  /** Returns the clock of the machine. */
+  static MonotonicClock system() {
+    return System::nanoTime;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/upstream/BoundedBytes.java
@@ -0,0 +1,31 @@
+package org.gradeledge.upstream;
+
+import java.io.ByteArrayOutputStream;
+import org.gradeledge.verdict.RefusalReason;
+import org.gradeledge.verdict.Verdict;
+
+/** Collects the bytes of one answer up to a bound. Not thread-safe. */
+final class BoundedBytes {
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final int bound;
+
+  BoundedBytes(int bound) {
+    this.bound = bound;
+  }
+
+  void append(byte[] bytes) {
+    if (out.size() + bytes.length > bound) {
+      throw new UpstreamException(
+          Verdict.MAY_HAVE_RUN,
+          RefusalReason.UPSTREAM_FAILED,
+          "an answer must be at most " + bound + " bytes",
+          null);
+    }
+    out.writeBytes(bytes);
+  }
+
+  byte[] toByteArray() {
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/FaultSwitch.java
@@ -0,0 +1,39 @@
+package org.gradeledge.standin;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Puts a fault on every call while it is set, or on the next few calls only. Thread-safe.
+ *
+ * @param <F> the faults there are
+ */
+public final class FaultSwitch<F> {
+
+  private record Setting<F>(F fault, AtomicInteger callsLeft) {}
+
+  private final F none;
+  private final AtomicReference<Setting<F>> setting;
+
+  /** Creates a switch that is off; {@code none} stands for no fault. */
+  public FaultSwitch(F none) {
+    this.none = none;
+    this.setting = new AtomicReference<>(new Setting<>(none, new AtomicInteger()));
+  }
+
+  /** Sets a fault until it is changed again. */
+  public void set(F fault) {
+    setting.set(new Setting<>(fault, new AtomicInteger(Integer.MAX_VALUE)));
+  }
+
+  /** Sets a fault for the next calls; after them there is none. */
+  public void setForNext(F fault, int calls) {
+    setting.set(new Setting<>(fault, new AtomicInteger(calls)));
+  }
+
+  /** Returns the fault that hits a call made now, and counts the call. */
+  public F next() {
+    Setting<F> current = setting.get();
+    return current.callsLeft().getAndDecrement() > 0 ? current.fault() : none;
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
@@ -0,0 +1,29 @@
+package org.gradeledge.standin;
+
+import org.gradeledge.standin.demo.DemoFilesCommand;
+import org.gradeledge.standin.engine.EnginesCommand;
+import org.gradeledge.standin.load.LoadCommand;
+import org.gradeledge.standin.platform.PlatformCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The command line of the stand-ins. */
+@Command(
+    name = "gradeledge-standin",
+    mixinStandardHelpOptions = true,
+    description = "Test stand-ins and load for gradeledge.",
+    subcommands = {
+      PlatformCommand.class,
+      EnginesCommand.class,
+      DemoFilesCommand.class,
+      LoadCommand.class
+    })
+public final class Main {
+
+  private Main() {}
+
+  /** Runs the command line and exits with its code. */
+  public static void main(String[] arguments) {
+    System.exit(new CommandLine(new Main()).execute(arguments));
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/demo/DemoFilesCommand.java
@@ -0,0 +1,105 @@
+package org.gradeledge.standin.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.Callable;
+import org.gradeledge.configuration.TextDigest;
+import org.gradeledge.standin.StandInHttp;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Writes the settings of boxes and puts the ports of running engines into pipeline files. */
+@Command(
+    name = "demo-files",
+    mixinStandardHelpOptions = true,
+    description = "Writes settings and pipeline files for stand-ins that are running.")
+public final class DemoFilesCommand implements Callable<Integer> {
+
+  private static final String LOOPBACK = "127.0.0.1";
+
+  @Option(names = "--directory", required = true, description = "Where to write.")
+  private Path directory;
+
+  @Option(names = "--platform", required = true, description = "First line of the platform.")
+  private Path platform;
+
+  @Option(names = "--engines", required = true, description = "First lines of engine processes.")
+  private List<Path> engines;
+
+  @Option(names = "--pipelines", required = true, description = "Pipeline files.")
+  private List<Path> pipelines;
+
+  @Option(names = "--boxes", required = true, description = "How many boxes.")
+  private int boxes;
+
+  @Option(names = "--zones", split = ",", required = true, description = "Their zones in turn.")
+  private List<String> zones;
+
+  @Option(names = "--operator-token", required = true, description = "Token of the operator.")
+  private String operatorToken;
+
+  @Option(names = "--peer-secret", required = true, description = "Secret of the boxes.")
+  private String peerSecret;
+
+  @Override
+  public Integer call() throws IOException {
+    Files.createDirectories(directory);
+    ObjectNode ports = JsonNodeFactory.instance.objectNode();
+    for (Path file : engines) {
+      ports.setAll((ObjectNode) firstLine(file).path("engines"));
+    }
+    for (Path file : pipelines) {
+      writePipeline(file, ports);
+    }
+    Path secret = directory.resolve("peer-secret");
+    Files.writeString(secret, peerSecret);
+    for (int box = 1; box <= boxes; box++) {
+      writeSettings(box, firstLine(platform).path("platform").asText(), secret);
+    }
+    return 0;
+  }
+
+  private void writePipeline(Path file, ObjectNode ports) throws IOException {
+    JsonNode pipeline = StandInHttp.parse(Files.readAllBytes(file));
+    for (JsonNode upstream : pipeline.path("upstreams")) {
+      String id = upstream.path("id").asText();
+      ((ObjectNode) upstream).set("port", ports.required(id));
+    }
+    Path name = Objects.requireNonNull(file.getFileName());
+    Files.write(directory.resolve(name), StandInHttp.write(pipeline));
+  }
+
+  private void writeSettings(int box, String platformAddress, Path secret) throws IOException {
+    ObjectNode settings = JsonNodeFactory.instance.objectNode();
+    settings.put("boxId", "box-" + box);
+    settings.put("availabilityZone", zones.get((box - 1) % zones.size()));
+    settings.set("caller", listen());
+    settings.set("operator", listen());
+    settings.putObject("peer").put("secretFile", secret.toString()).set("listen", listen());
+    String address = "http://" + platformAddress;
+    settings
+        .putObject("platform")
+        .put("table", address)
+        .put("objects", address)
+        .put("boxes", address);
+    ArrayNode operators = settings.putArray("operators");
+    operators.addObject().put("name", "demo").put("tokenSha256", TextDigest.sha256(operatorToken));
+    Files.write(directory.resolve("box-" + box + ".json"), StandInHttp.write(settings));
+  }
+
+  private static ObjectNode listen() {
+    return JsonNodeFactory.instance.objectNode().put("host", LOOPBACK).put("port", 0);
+  }
+
+  private static JsonNode firstLine(Path file) throws IOException {
+    List<String> lines = Files.readAllLines(file);
+    return StandInHttp.parse(lines.get(0).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadReport.java
@@ -0,0 +1,82 @@
+package org.gradeledge.standin.load;
+
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.HdrHistogram.Histogram;
+
+/** Prints what a load run came to. */
+final class LoadReport {
+
+  private static final long LONGEST_MICROS = 120_000_000L;
+
+  private final List<Outcome> outcomes;
+
+  LoadReport(List<Outcome> outcomes) {
+    this.outcomes = outcomes;
+  }
+
+  /** Returns the share of requests answered whole within their deadline. */
+  double attainment() {
+    return share(outcomes, Outcome.COMPLETED);
+  }
+
+  long count(String kind) {
+    return outcomes.stream().filter(outcome -> outcome.kind().equals(kind)).count();
+  }
+
+  /** Returns a percentile of the time of completed requests, in milliseconds. */
+  double percentile(double percentile) {
+    Histogram histogram = new Histogram(LONGEST_MICROS, 3);
+    outcomes.stream()
+        .filter(outcome -> outcome.kind().equals(Outcome.COMPLETED))
+        .forEach(
+            outcome -> histogram.recordValue(Math.min(LONGEST_MICROS, outcome.nanos() / 1_000)));
+    return histogram.getValueAtPercentile(percentile) / 1_000.0;
+  }
+
+  void print(PrintWriter out) {
+    out.printf("%-18s %-16s %6s %11s  %s%n", "pipeline", "account", "sent", "attainment", "others");
+    byTarget()
+        .forEach(
+            (name, of) -> {
+              Outcome first = of.get(0);
+              out.printf(
+                  "%-18s %-16s %6d %10.1f%%  %s%n",
+                  first.pipeline(),
+                  first.account(),
+                  of.size(),
+                  100 * share(of, Outcome.COMPLETED),
+                  others(of));
+            });
+    out.printf(
+        "all: %d requests, attainment %.2f%%, wrong answers %d, p50 %.1f ms, p99 %.1f ms%n",
+        outcomes.size(), 100 * attainment(), count(Outcome.WRONG), percentile(50), percentile(99));
+    out.flush();
+  }
+
+  private Map<String, List<Outcome>> byTarget() {
+    return outcomes.stream()
+        .collect(
+            Collectors.groupingBy(
+                outcome -> outcome.pipeline() + " " + outcome.account(),
+                TreeMap::new,
+                Collectors.toList()));
+  }
+
+  private static Map<String, Long> others(List<Outcome> of) {
+    return of.stream()
+        .map(Outcome::kind)
+        .filter(kind -> !kind.equals(Outcome.COMPLETED))
+        .collect(Collectors.groupingBy(Function.identity(), TreeMap::new, Collectors.counting()));
+  }
+
+  private static double share(List<Outcome> of, String kind) {
+    return of.isEmpty()
+        ? 0
+        : (double) of.stream().filter(outcome -> outcome.kind().equals(kind)).count() / of.size();
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadRun.java
@@ -0,0 +1,139 @@
+package org.gradeledge.standin.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.buffer.Unpooled;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.TimeoutException;
+import org.gradeledge.standin.StandInHttp;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Sends requests at a set rate whether or not earlier ones were answered, so that a slow system
+ * cannot slow the load down; times count from when a request was due.
+ */
+final class LoadRun {
+
+  private static final int CONNECTIONS = 2_000;
+  private static final Duration GIVE_UP_BEYOND_DEADLINE = Duration.ofSeconds(2);
+
+  private final List<String> boxes;
+  private final List<Target> targets;
+  private final double rate;
+  private final int count;
+  private final Random random;
+  private final HttpClient client =
+      HttpClient.create(
+              ConnectionProvider.builder("load")
+                  .maxConnections(CONNECTIONS)
+                  .pendingAcquireMaxCount(-1)
+                  .build())
+          .disableRetry(true);
+
+  LoadRun(List<String> boxes, List<Target> targets, double rate, int count, long seed) {
+    this.boxes = boxes;
+    this.targets = targets;
+    this.rate = rate;
+    this.count = count;
+    this.random = new Random(seed);
+  }
+
+  /** Returns the outcomes of all requests. */
+  Mono<List<Outcome>> run() {
+    long start = System.nanoTime();
+    int[] picks = random.ints(count, 0, targets.size()).toArray();
+    double[] gaps = random.doubles(count).map(u -> -Math.log(1 - u) / rate).toArray();
+    long[] due = new long[count];
+    double at = 0;
+    for (int i = 0; i < count; i++) {
+      at += gaps[i];
+      due[i] = (long) (at * 1e9);
+    }
+    return Flux.range(0, count)
+        .concatMap(i -> waitUntil(start + due[i]).thenReturn(i), 1)
+        .flatMap(i -> send(i, targets.get(picks[i]), start + due[i]), Integer.MAX_VALUE)
+        .collectList();
+  }
+
+  private static Mono<Long> waitUntil(long nanos) {
+    long left = nanos - System.nanoTime();
+    return left <= 1_000_000 ? Mono.just(0L) : Mono.delay(Duration.ofNanos(left));
+  }
+
+  private Mono<Outcome> send(int number, Target target, long dueNanos) {
+    String text = SampleText.of(target.file().pipeline(), number);
+    Duration limit = target.account().deadline();
+    return client
+        .headers(
+            headers -> {
+              headers.set("Authorization", "Bearer " + target.token());
+              headers.set("Content-Type", "application/json");
+              if (target.file().runsAtMostOnce()) {
+                headers.set("Idempotency-Key", UUID.randomUUID().toString());
+              }
+            })
+        .post()
+        .uri(
+            "http://"
+                + boxes.get(number % boxes.size())
+                + "/v1/pipelines/"
+                + target.file().pipeline()
+                + "/requests")
+        .send(
+            Mono.fromSupplier(
+                () -> Unpooled.wrappedBuffer(StandInHttp.write(Map.of("text", text)))))
+        .responseSingle(
+            (response, content) ->
+                content
+                    .asByteArray()
+                    .map(body -> judge(response.status().code(), body, text, dueNanos, limit)))
+        .timeout(limit.plus(GIVE_UP_BEYOND_DEADLINE))
+        .onErrorResume(
+            e -> Mono.just(e instanceof TimeoutException ? "no-answer" : "connection-failed"))
+        .map(
+            kind ->
+                new Outcome(
+                    target.file().pipeline(),
+                    target.account().name(),
+                    kind,
+                    System.nanoTime() - dueNanos));
+  }
+
+  private static String judge(int status, byte[] body, String text, long dueNanos, Duration limit) {
+    JsonNode answer = StandInHttp.parse(body);
+    if (status != 200) {
+      return answer.path("reason").asText("status-" + status);
+    }
+    if (!belongsTo(answer, text)) {
+      return Outcome.WRONG;
+    }
+    boolean late = System.nanoTime() - dueNanos > limit.toNanos();
+    return late ? Outcome.LATE : Outcome.COMPLETED;
+  }
+
+  /** Every stage's answer must carry this request's own text, each letter as it was sent. */
+  private static boolean belongsTo(JsonNode answer, String text) {
+    JsonNode results = answer.path("results");
+    for (JsonNode result : results) {
+      String all = result.toString();
+      boolean own =
+          result.has("generated")
+              ? result.path("generated").asText().contains(lastWord(text))
+              : all.contains(text);
+      if (!own) {
+        return false;
+      }
+    }
+    return results.size() > 0;
+  }
+
+  private static String lastWord(String text) {
+    return text.substring(text.lastIndexOf(' ') + 1);
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/package-info.java
@@ -0,0 +1,5 @@
+/** Open-loop load and its report. */
+@NullMarked
+package org.gradeledge.standin.load;
+
+import org.jspecify.annotations.NullMarked;
