--- a/gradeledge-core/src/main/java/org/gradeledge/claim/ClaimService.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/claim/ClaimService.java
@@ -129,6 +129,7 @@
     return Mono.just(
         found
             .result()
+            .filter(JsonNode::isObject)
             .<ClaimOutcome>map(ClaimOutcome.Answered::new)
             .orElseGet(ClaimOutcome.Taken::new));
   }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/FaultSwitch.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/FaultSwitch.java
@@ -10,7 +10,7 @@
  */
 public final class FaultSwitch<F> {
 
-  private record Setting<F>(F fault, AtomicInteger callsLeft) {}
+  private record Setting<F>(F fault, AtomicInteger callsBefore, AtomicInteger callsLeft) {}
 
   private final F none;
   private final AtomicReference<Setting<F>> setting;
@@ -18,22 +18,31 @@
   /** Creates a switch that is off; {@code none} stands for no fault. */
   public FaultSwitch(F none) {
     this.none = none;
-    this.setting = new AtomicReference<>(new Setting<>(none, new AtomicInteger()));
+    this.setting =
+        new AtomicReference<>(new Setting<>(none, new AtomicInteger(), new AtomicInteger()));
   }
 
   /** Sets a fault until it is changed again. */
   public void set(F fault) {
-    setting.set(new Setting<>(fault, new AtomicInteger(Integer.MAX_VALUE)));
+    setAfter(0, fault, Integer.MAX_VALUE);
   }
 
   /** Sets a fault for the next calls; after them there is none. */
   public void setForNext(F fault, int calls) {
-    setting.set(new Setting<>(fault, new AtomicInteger(calls)));
+    setAfter(0, fault, calls);
+  }
+
+  /** Sets a fault for some calls after a number of good ones. */
+  public void setAfter(int goodCalls, F fault, int calls) {
+    setting.set(new Setting<>(fault, new AtomicInteger(goodCalls), new AtomicInteger(calls)));
   }
 
   /** Returns the fault that hits a call made now, and counts the call. */
   public F next() {
     Setting<F> current = setting.get();
+    if (current.callsBefore().getAndDecrement() > 0) {
+      return none;
+    }
     return current.callsLeft().getAndDecrement() > 0 ? current.fault() : none;
   }
 }
