Killed and frozen processes at each write of a change; the specification in the test run

Cause: the change protocol was tested with faults of the table only, in one process. Change: boxes as processes, struck by SIGKILL or SIGSTOP while a faulty write of a change is under way, while every box is called all the time and the version of each answer noted; spec/change.als checked by Alloy 6, seven assertions and nine mutants of its rules. Ruled out: a fixed time of freezing; the box wakes once it has been removed.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/FaultSwitch.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/FaultSwitch.java
@@ -14,6 +14,7 @@
 
   private final F none;
   private final AtomicReference<Setting<F>> setting;
+  private volatile boolean struck;
 
   /** Creates a switch that is off; {@code none} stands for no fault. */
   public FaultSwitch(F none) {
@@ -34,15 +35,25 @@
 
   /** Sets a fault for some calls after a number of good ones. */
   public void setAfter(int goodCalls, F fault, int calls) {
+    struck = false;
     setting.set(new Setting<>(fault, new AtomicInteger(goodCalls), new AtomicInteger(calls)));
   }
 
+  /** Returns whether the fault has hit a call since it was set. */
+  public boolean struck() {
+    return struck;
+  }
+
   /** Returns the fault that hits a call made now, and counts the call. */
   public F next() {
     Setting<F> current = setting.get();
     if (current.callsBefore().getAndDecrement() > 0) {
       return none;
     }
-    return current.callsLeft().getAndDecrement() > 0 ? current.fault() : none;
+    if (current.callsLeft().getAndDecrement() <= 0) {
+      return none;
+    }
+    struck = true;
+    return current.fault();
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/Deployment.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/Deployment.java
@@ -1,9 +1,5 @@
 package org.gradeledge.standin;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -11,10 +7,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
-import org.gradeledge.configuration.TextDigest;
 import org.gradeledge.node.BoxPorts;
 import org.gradeledge.node.GradeledgeBox;
 import org.gradeledge.settings.BoxSettings;
@@ -25,12 +19,11 @@
 import org.gradeledge.standin.platform.PlatformStandIn;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
-import reactor.netty.http.client.HttpClient;
 
 /** A platform, engines and boxes in this process, on free ports; closed after each test. */
 final class Deployment implements AutoCloseable {
 
-  static final String OPERATOR_TOKEN = "token of the operator";
+  static final String OPERATOR_TOKEN = TestSettings.OPERATOR_TOKEN;
   private static final Duration EVENT_LIMIT = Duration.ofSeconds(30);
   private static final Duration LOOK_AGAIN = Duration.ofMillis(20);
 
@@ -89,41 +82,15 @@
   }
 
   Mono<Reply> submit(int box, byte[] file, long base, UUID id) {
-    String condition = base == 0 ? "If-None-Match" : "If-Match";
-    String value = base == 0 ? "*" : "\"" + base + "\"";
-    String name = StandInHttp.parse(file).path("pipeline").asText();
-    return operator(
-        box,
-        HttpMethod.PUT,
-        "/v1/pipelines/" + name,
-        Map.of(condition, value, "Gradeledge-Submission-Id", id.toString()),
-        file);
+    return operators(box).submit(file, base, id);
   }
 
   Reply operatorGet(int box, String path) {
-    return operator(box, HttpMethod.GET, path, Map.of(), new byte[0]).block(EVENT_LIMIT);
+    return operators(box).get(path);
   }
 
-  Mono<Reply> operator(
-      int box, HttpMethod method, String path, Map<String, String> headers, byte[] body) {
-    return HttpClient.newConnection()
-        .headers(
-            sent -> {
-              sent.set("Authorization", "Bearer " + OPERATOR_TOKEN);
-              headers.forEach(sent::set);
-            })
-        .request(method)
-        .uri("http://127.0.0.1:" + ports.get(box).operatorPort() + path)
-        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-        .responseSingle(
-            (response, content) ->
-                content
-                    .asByteArray()
-                    .defaultIfEmpty(new byte[0])
-                    .map(
-                        bytes ->
-                            new Reply(
-                                response.status().code(), response.responseHeaders(), bytes)));
+  private OperatorCalls operators(int box) {
+    return new OperatorCalls(ports.get(box).operatorPort());
   }
 
   int callerPort(int box) {
@@ -142,41 +109,11 @@
   }
 
   private BoxSettings settings(String id) {
-    ObjectNode settings = JsonNodeFactory.instance.objectNode();
-    settings.put("boxId", id).put("availabilityZone", "sofia-1");
-    settings.set("caller", listen());
-    settings.set("operator", listen());
-    settings.putObject("peer").put("secretFile", secret.toString()).set("listen", listen());
-    String address = "http://127.0.0.1:" + platform.port();
-    settings
-        .putObject("platform")
-        .put("table", address)
-        .put("objects", address)
-        .put("boxes", address);
-    settings
-        .putArray("operators")
-        .addObject()
-        .put("name", "petya")
-        .put("tokenSha256", TextDigest.sha256(OPERATOR_TOKEN));
-    settings
-        .putObject("timing")
-        .put("membershipBoundMs", 2_000)
-        .put("prepareBoundMs", 1_000)
-        .put("doubtBoundMs", 1_000)
-        .put("heartbeatMs", 100)
-        .put("pollMs", 150)
-        .put("platformCallMs", 500)
-        .put("balancerLagMs", 100);
-    settings.putObject("limits").put("maxBodyBytes", 4_096).put("maxHeaderBytes", 2_048);
     return new SettingsReader()
-        .read(StandInHttp.write(settings))
+        .read(TestSettings.text(id, platform.port(), secret))
         .getOrElseThrow(faults -> new AssertionError(faults));
   }
 
-  private static ObjectNode listen() {
-    return JsonNodeFactory.instance.objectNode().put("host", "127.0.0.1").put("port", 0);
-  }
-
   @Override
   public void close() {
     boxes.forEach(GradeledgeBox::close);
