A confirmation counts from when it was asked for, not from when it was read

Ruled out: the table's read, which already counts from its start. Change: heartbeats carry a stamp of the sender's clock, which the peer sends back; a confirmation counts from that stamp. Admission policies by name, so that the baselines run in the same build.

--- a/gradeledge-core/src/main/java/org/gradeledge/admission/PipelineLimits.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/admission/PipelineLimits.java
@@ -16,18 +16,24 @@
  */
 public final class PipelineLimits {
 
+  private final AdmissionPolicy policy;
   private final Map<String, StageTimes> times = new ConcurrentHashMap<>();
   private final Map<String, StageLimiter> limiters = new ConcurrentHashMap<>();
 
+  /** Creates limits under a policy; no stage is known yet. */
+  public PipelineLimits(AdmissionPolicy policy) {
+    this.policy = policy;
+  }
+
   /** Takes over the limits of a new version. */
   public void update(PipelineFile file) {
-    file.stages().forEach(stage -> limiter(stage).setLimit(stage.concurrencyLimit()));
+    file.stages().forEach(stage -> limiter(stage).setLimit(policy.limit(stage)));
   }
 
   /** Returns the limiter of a stage. */
   public StageLimiter limiter(StageDefinition stage) {
     return limiters.computeIfAbsent(
-        stage.name(), name -> new StageLimiter(name, stage.concurrencyLimit(), times(stage)));
+        stage.name(), name -> new StageLimiter(name, policy.limit(stage), times(stage)));
   }
 
   /** Returns the times of a stage. */
@@ -37,9 +43,9 @@
 
   /** Returns how long the given stages are expected to take, one after another. */
   public Duration expected(List<StageDefinition> stages) {
-    return stages.stream()
-        .map(stage -> times(stage).typical())
-        .reduce(Duration.ZERO, Duration::plus);
+    Duration estimate =
+        stages.stream().map(stage -> times(stage).typical()).reduce(Duration.ZERO, Duration::plus);
+    return policy.expected(estimate);
   }
 
   /** Refuses a request whose deadline is shorter than its stages usually take. */
--- a/gradeledge-core/src/main/java/org/gradeledge/node/BoxServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/BoxServices.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
+import org.gradeledge.admission.AdmissionPolicy;
 import org.gradeledge.audit.AuditTrail;
 import org.gradeledge.change.ChangeService;
 import org.gradeledge.claim.ClaimService;
@@ -103,7 +104,8 @@
     this.gate = new ServingGate(membership::isConfirmed);
     this.groupCommit = new GroupCommit(table);
     RequestLimits limits =
-        new RequestLimits(settings.limitsOrDefault().requestsPerAccount(), clock);
+        new RequestLimits(
+            admission(settings), settings.limitsOrDefault().requestsPerAccount(), clock);
     this.requests =
         new RequestService(
             registry,
@@ -136,6 +138,10 @@
     return settings.routing().map(RoutingPolicy::ofWireName).orElse(RoutingPolicy.TWO_CHOICES);
   }
 
+  private static AdmissionPolicy admission(BoxSettings settings) {
+    return settings.admission().map(AdmissionPolicy::ofWireName).orElse(AdmissionPolicy.DEADLINE);
+  }
+
   private PeerNetwork peers(BoxSettings settings) {
     var tls = settings.peer().listen().tls();
     PeerTransport transport = new PeerTransport(TlsContexts.server(tls), TlsContexts.client(tls));
--- a/gradeledge-core/src/main/java/org/gradeledge/request/RequestLimits.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/request/RequestLimits.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.gradeledge.admission.AccountLimiter;
+import org.gradeledge.admission.AdmissionPolicy;
 import org.gradeledge.admission.PipelineLimits;
 import org.gradeledge.configuration.AccountDefinition;
 import org.gradeledge.configuration.PipelineFile;
@@ -19,11 +20,13 @@
 
   private final Map<String, PipelineLimits> pipelines = new ConcurrentHashMap<>();
   private final Map<AccountOf, AccountLimiter> accounts = new ConcurrentHashMap<>();
+  private final AdmissionPolicy policy;
   private final int requestsPerAccount;
   private final MonotonicClock clock;
 
   /** Creates empty limits; an account may have {@code requestsPerAccount} at a time. */
-  public RequestLimits(int requestsPerAccount, MonotonicClock clock) {
+  public RequestLimits(AdmissionPolicy policy, int requestsPerAccount, MonotonicClock clock) {
+    this.policy = policy;
     this.requestsPerAccount = requestsPerAccount;
     this.clock = clock;
   }
@@ -41,7 +44,7 @@
   }
 
   PipelineLimits pipeline(PipelineFile file) {
-    return pipelines.computeIfAbsent(file.pipeline(), name -> new PipelineLimits());
+    return pipelines.computeIfAbsent(file.pipeline(), name -> new PipelineLimits(policy));
   }
 
   AccountLimiter account(PipelineFile file, AccountDefinition account) {
--- a/gradeledge-core/src/main/java/org/gradeledge/settings/BoxSettings.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/settings/BoxSettings.java
@@ -17,6 +17,7 @@
  * @param timing bounds and periods
  * @param limits what the box takes in at most
  * @param routing name of the routing policy, see {@code RoutingPolicy}
+ * @param admission name of the admission policy, see {@code AdmissionPolicy}
  * @since 0.1
  */
 public record BoxSettings(
@@ -29,7 +30,8 @@
     List<OperatorSettings> operators,
     Optional<TimingSettings> timing,
     Optional<LimitSettings> limits,
-    Optional<String> routing) {
+    Optional<String> routing,
+    Optional<String> admission) {
 
   /** Checks that every part is there. */
   public BoxSettings {
--- a/gradeledge-core/src/main/java/org/gradeledge/synchronization/HeartbeatService.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/synchronization/HeartbeatService.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.gradeledge.change.VersionFetcher;
 import org.gradeledge.configuration.ConfigurationRegistry;
@@ -60,7 +61,14 @@
             peer -> {
               boolean confirms =
                   serving && membership.members().confirms(peer.boxId(), peer.incarnation());
-              Heartbeat heartbeat = new Heartbeat(serving, confirms, versions, leaving);
+              Heartbeat heartbeat =
+                  new Heartbeat(
+                      new Heartbeat.Stamp(membership.incarnation(), clock.nanos()),
+                      Optional.ofNullable(last.get(peer.boxId())).map(Heartbeat::sent),
+                      serving,
+                      confirms,
+                      versions,
+                      leaving);
               peers.tell(peer.boxId(), Heartbeat.TYPE, heartbeat);
             });
   }
@@ -73,8 +81,6 @@
   }
 
   private Mono<Void> receive(PeerIdentity from, Heartbeat heartbeat) {
-    long receivedNanos = clock.nanos();
-    long incarnation = membership.incarnation();
     last.put(from.boxId(), heartbeat);
     heartbeat.leaving().forEach(this::noteLeaving);
     return Flux.fromIterable(heartbeat.versions().entrySet())
@@ -84,11 +90,19 @@
             Mono.fromRunnable(
                 () -> {
                   if (heartbeat.confirms()) {
-                    membership.confirmed(incarnation, receivedNanos);
+                    heartbeat.echo().ifPresent(this::confirmedAsOf);
                   }
                 }));
   }
 
+  /**
+   * A heartbeat says nothing of when it was sent: a box that was frozen finds old ones waiting. The
+   * stamp that it brings back does, since the peer had it before it sent.
+   */
+  private void confirmedAsOf(Heartbeat.Stamp echo) {
+    membership.confirmed(echo.incarnation(), echo.nanos());
+  }
+
   private void noteLeaving(Heartbeat.LeavingUpstream leaving) {
     upstreams
         .at(leaving.host(), leaving.port())
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
@@ -3,6 +3,9 @@
 import org.gradeledge.standin.demo.DemoFilesCommand;
 import org.gradeledge.standin.engine.EnginesCommand;
 import org.gradeledge.standin.load.LoadCommand;
+import org.gradeledge.standin.measure.ChangesCommand;
+import org.gradeledge.standin.measure.OverheadCommand;
+import org.gradeledge.standin.measure.PoliciesCommand;
 import org.gradeledge.standin.platform.PlatformCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -16,7 +19,10 @@
       PlatformCommand.class,
       EnginesCommand.class,
       DemoFilesCommand.class,
-      LoadCommand.class
+      LoadCommand.class,
+      OverheadCommand.class,
+      ChangesCommand.class,
+      PoliciesCommand.class
     })
 public final class Main {
 
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/demo/DemoFilesCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/demo/DemoFilesCommand.java
@@ -48,6 +48,12 @@
   @Option(names = "--peer-secret", required = true, description = "Secret of the boxes.")
   private String peerSecret;
 
+  @Option(
+      names = "--policies",
+      split = ",",
+      description = "routing:admission of the boxes in turn; the defaults where not given.")
+  private List<String> policies = List.of();
+
   @Override
   public Integer call() throws IOException {
     Files.createDirectories(directory);
@@ -91,6 +97,10 @@
         .put("boxes", address);
     ArrayNode operators = settings.putArray("operators");
     operators.addObject().put("name", "demo").put("tokenSha256", TextDigest.sha256(operatorToken));
+    if (!policies.isEmpty()) {
+      String[] policy = policies.get((box - 1) % policies.size()).split(":");
+      settings.put("routing", policy[0]).put("admission", policy[1]);
+    }
     Files.write(directory.resolve("box-" + box + ".json"), StandInHttp.write(settings));
   }
 
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadCommand.java
@@ -1,10 +1,7 @@
 package org.gradeledge.standin.load;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import org.gradeledge.configuration.PipelineFile;
-import org.gradeledge.configuration.PipelineFileReader;
 import org.gradeledge.standin.StandInHttp;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -44,7 +40,7 @@
   @Option(names = "--rate", defaultValue = "100", description = "Requests a second.")
   private double rate;
 
-  @Option(names = "--count", defaultValue = "400", description = "Requests in all.")
+  @Option(names = "--count", defaultValue = "400", description = "Requests in all, about.")
   private int count;
 
   @Option(names = "--seed", defaultValue = "1", description = "Seed of times and choices.")
@@ -52,10 +48,12 @@
 
   @Override
   public Integer call() {
-    List<PipelineFile> files = pipelines.stream().map(LoadCommand::read).toList();
+    List<PipelineFile> files = PipelineTexts.read(pipelines);
     List<Outcome> outcomes =
         Objects.requireNonNull(
-            new LoadRun(boxes, Target.of(files), rate, count, seed).run().block());
+            new LoadRun(boxes, LoadPlan.poisson(Target.of(files), rate, 0, count / rate, seed))
+                .run()
+                .block());
     LoadReport report = new LoadReport(outcomes);
     PrintWriter out = spec.commandLine().getOut();
     report.print(out);
@@ -96,14 +94,4 @@
             .block();
     return StandInHttp.parse(Objects.requireNonNull(body));
   }
-
-  private static PipelineFile read(Path file) {
-    try {
-      return new PipelineFileReader()
-          .read(Files.readAllBytes(file))
-          .getOrElseThrow(faults -> new IllegalArgumentException(file + " " + faults));
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadReport.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadReport.java
@@ -9,27 +9,37 @@
 import org.HdrHistogram.Histogram;
 
 /** Prints what a load run came to. */
-final class LoadReport {
+public final class LoadReport {
 
   private static final long LONGEST_MICROS = 120_000_000L;
 
   private final List<Outcome> outcomes;
 
-  LoadReport(List<Outcome> outcomes) {
+  /** Creates a report of some outcomes. */
+  public LoadReport(List<Outcome> outcomes) {
     this.outcomes = outcomes;
   }
 
   /** Returns the share of requests answered whole within their deadline. */
-  double attainment() {
+  public double attainment() {
     return share(outcomes, Outcome.COMPLETED);
   }
 
-  long count(String kind) {
+  /** Returns the attainment of the pipeline and account that fared worst. */
+  public double leastAttainment() {
+    return byTarget().values().stream()
+        .mapToDouble(of -> share(of, Outcome.COMPLETED))
+        .min()
+        .orElse(0);
+  }
+
+  /** Returns how many requests ended in a way. */
+  public long count(String kind) {
     return outcomes.stream().filter(outcome -> outcome.kind().equals(kind)).count();
   }
 
   /** Returns a percentile of the time of completed requests, in milliseconds. */
-  double percentile(double percentile) {
+  public double percentile(double percentile) {
     Histogram histogram = new Histogram(LONGEST_MICROS, 3);
     outcomes.stream()
         .filter(outcome -> outcome.kind().equals(Outcome.COMPLETED))
@@ -38,7 +48,8 @@
     return histogram.getValueAtPercentile(percentile) / 1_000.0;
   }
 
-  void print(PrintWriter out) {
+  /** Prints a table. */
+  public void print(PrintWriter out) {
     out.printf("%-18s %-16s %6s %11s  %s%n", "pipeline", "account", "sent", "attainment", "others");
     byTarget()
         .forEach(
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadRun.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/LoadRun.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.TimeoutException;
 import org.gradeledge.standin.StandInHttp;
@@ -18,16 +17,13 @@
  * Sends requests at a set rate whether or not earlier ones were answered, so that a slow system
  * cannot slow the load down; times count from when a request was due.
  */
-final class LoadRun {
+public final class LoadRun {
 
   private static final int CONNECTIONS = 2_000;
   private static final Duration GIVE_UP_BEYOND_DEADLINE = Duration.ofSeconds(2);
 
   private final List<String> boxes;
-  private final List<Target> targets;
-  private final double rate;
-  private final int count;
-  private final Random random;
+  private final LoadPlan plan;
   private final HttpClient client =
       HttpClient.create(
               ConnectionProvider.builder("load")
@@ -36,29 +32,29 @@
                   .build())
           .disableRetry(true);
 
-  LoadRun(List<String> boxes, List<Target> targets, double rate, int count, long seed) {
-    this.boxes = boxes;
-    this.targets = targets;
-    this.rate = rate;
-    this.count = count;
-    this.random = new Random(seed);
+  /** Creates a run of a plan over some boxes in turn. */
+  public LoadRun(List<String> boxes, LoadPlan plan) {
+    this.boxes = List.copyOf(boxes);
+    this.plan = plan;
   }
 
   /** Returns the outcomes of all requests. */
-  Mono<List<Outcome>> run() {
-    long start = System.nanoTime();
-    int[] picks = random.ints(count, 0, targets.size()).toArray();
-    double[] gaps = random.doubles(count).map(u -> -Math.log(1 - u) / rate).toArray();
-    long[] due = new long[count];
-    double at = 0;
-    for (int i = 0; i < count; i++) {
-      at += gaps[i];
-      due[i] = (long) (at * 1e9);
-    }
-    return Flux.range(0, count)
-        .concatMap(i -> waitUntil(start + due[i]).thenReturn(i), 1)
-        .flatMap(i -> send(i, targets.get(picks[i]), start + due[i]), Integer.MAX_VALUE)
-        .collectList();
+  public Mono<List<Outcome>> run() {
+    return Mono.defer(
+        () -> {
+          long start = System.nanoTime();
+          return Flux.fromIterable(plan.arrivals())
+              .concatMap(arrival -> waitUntil(start + arrival.dueNanos()).thenReturn(arrival), 1)
+              .index()
+              .flatMap(
+                  numbered ->
+                      send(
+                          numbered.getT1().intValue(),
+                          numbered.getT2().target(),
+                          start + numbered.getT2().dueNanos()),
+                  Integer.MAX_VALUE)
+              .collectList();
+        });
   }
 
   private static Mono<Long> waitUntil(long nanos) {
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/load/Outcome.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/Outcome.java
@@ -8,9 +8,14 @@
  * @param kind "completed", "late", "wrong", or the reason of a refusal
  * @param nanos time from when it was due to its answer
  */
-record Outcome(String pipeline, String account, String kind, long nanos) {
+public record Outcome(String pipeline, String account, String kind, long nanos) {
 
-  static final String COMPLETED = "completed";
-  static final String LATE = "late";
-  static final String WRONG = "wrong";
+  /** Answered whole within its deadline. */
+  public static final String COMPLETED = "completed";
+
+  /** Answered whole, but late. */
+  public static final String LATE = "late";
+
+  /** Answered with what is not its own. */
+  public static final String WRONG = "wrong";
 }
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/PipelineTexts.java
@@ -0,0 +1,35 @@
+package org.gradeledge.standin.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.gradeledge.configuration.PipelineFile;
+import org.gradeledge.configuration.PipelineFileReader;
+
+/** Reads pipeline files that must be valid. */
+public abstract class PipelineTexts {
+
+  private PipelineTexts() {}
+
+  /** Returns the files as read. */
+  public static List<PipelineFile> read(List<Path> files) {
+    PipelineFileReader reader = new PipelineFileReader();
+    return files.stream()
+        .map(
+            file ->
+                reader
+                    .read(bytes(file))
+                    .getOrElseThrow(faults -> new IllegalArgumentException(file + " " + faults)))
+        .toList();
+  }
+
+  private static byte[] bytes(Path file) {
+    try {
+      return Files.readAllBytes(file);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/load/Target.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/load/Target.java
@@ -5,15 +5,17 @@
 import org.gradeledge.configuration.PipelineFile;
 
 /** One pipeline under one client account. */
-record Target(PipelineFile file, AccountDefinition account) {
+public record Target(PipelineFile file, AccountDefinition account) {
 
-  static List<Target> of(List<PipelineFile> files) {
+  /** Returns every account of every pipeline. */
+  public static List<Target> of(List<PipelineFile> files) {
     return files.stream()
         .flatMap(file -> file.accounts().stream().map(account -> new Target(file, account)))
         .toList();
   }
 
-  String token() {
+  /** Returns the bearer token that the demonstration gives to the account. */
+  public String token() {
     return "demo-" + account.name();
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/AbstractChangeProcess.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/AbstractChangeProcess.java
@@ -10,19 +10,16 @@
 /** A change during which one box is struck at a step, and what must hold afterwards. */
 abstract class AbstractChangeProcess {
 
-  private static final int BOXES = 3;
+  static final int BOXES = 3;
 
   /** Strikes a box once the faulty write is under way; returns once it has recovered or is gone. */
   interface Strike {
-    void on(ProcessDeployment deployment, int victim);
+    void on(ProcessDeployment deployment, int victim, CompletableFuture<Reply> told);
   }
 
   void changeHoldsWhere(int victim, int write, PlatformFault fault, Strike strike) {
     try (ProcessDeployment deployment = new ProcessDeployment(BOXES)) {
-      byte[] file =
-          PipelineFiles.named(PipelineFiles.NAME)
-              .stage("encode", "encode", true, deployment.engine(EngineModel.fast()))
-              .text();
+      byte[] file = file(deployment);
       assertThat(deployment.submit(0, file, 0, UUID.randomUUID()).block().status()).isEqualTo(200);
       try (VersionWatch watch = new VersionWatch(deployment, BOXES)) {
         UUID id = UUID.randomUUID();
@@ -30,7 +27,7 @@
         deployment.platform.fault("commit").setAfter(write, fault, 1);
         CompletableFuture<Reply> told = deployment.submit(0, file, 1, id).toFuture();
         Deployment.await(() -> deployment.platform.fault("commit").struck() || told.isDone());
-        strike.on(deployment, victim);
+        strike.on(deployment, victim, told);
         deployment.platform.fault("commit").set(PlatformFault.NONE);
         Reply reply = told.join();
         if (reply.status() == 200) {
@@ -52,6 +49,12 @@
     }
   }
 
+  static byte[] file(ProcessDeployment deployment) {
+    return PipelineFiles.named(PipelineFiles.NAME)
+        .stage("encode", "encode", true, deployment.engine(EngineModel.fast()))
+        .text();
+  }
+
   private static void checkTold(Reply reply, String state) {
     if (reply.status() == 200) {
       assertThat(state).isEqualTo("accepted");
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/ChangeTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/ChangeTests.java
@@ -197,6 +197,20 @@
     }
   }
 
+  /** The newcomer is a member before the verdict is written, and was not asked to prepare. */
+  @Test
+  void aBoxThatJoinsBetweenPreparingAndTheVerdictHasItInForceOnceTheOperatorIsTold() {
+    deployment.apply(file, 0);
+    deployment.platform.fault("commit").setAfter(1, PlatformFault.SLOW, 1);
+    var told = deployment.submit(0, file, 1, UUID.randomUUID()).toFuture();
+    Deployment.await(() -> deployment.platform.fault("commit").struck());
+    deployment.startBox();
+
+    assertThat(told.join().status()).isEqualTo(200);
+    Reply served = deployment.call(3).now();
+    assertThat(served.headers().get("Gradeledge-Configuration-Version")).isNotEqualTo("1");
+  }
+
   @Test
   void refusesAChangeWhileAListedMemberIsGoneAndAcceptsItOnceItIsRemoved() {
     deployment.apply(file, 0);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/KilledBoxProcessTest.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/KilledBoxProcessTest.java
@@ -16,6 +16,6 @@
     "2,1,ANSWER_LATE"
   })
   void aChangeHoldsWhereABoxIsKilledAtAWrite(int victim, int write, PlatformFault fault) {
-    changeHoldsWhere(victim, write, fault, (deployment, box) -> deployment.box(box).kill());
+    changeHoldsWhere(victim, write, fault, (deployment, box, told) -> deployment.box(box).kill());
   }
 }
