Connections are counted once each, not once a request

Ruled out: idle and write time limits, direct memory. Change: the count and the write time limit sit where a channel is made. A box dials its peers only once it has joined.

--- a/gradeledge-core/src/main/java/org/gradeledge/http/HttpListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/http/HttpListener.java
@@ -1,5 +1,6 @@
 package org.gradeledge.http;
 
+import io.netty.channel.Channel;
 import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -8,7 +9,6 @@
 import org.gradeledge.settings.LimitSettings;
 import org.gradeledge.settings.ListenSettings;
 import reactor.core.publisher.Mono;
-import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
@@ -36,22 +36,23 @@
             .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.headerBytes()))
             .requestTimeout(limits.readTimeout())
             .idleTimeout(limits.idleTimeout())
-            .doOnConnection(connection -> admit(connection, connections, limits))
+            .doOnChannelInit((observer, channel, remote) -> admit(channel, connections, limits))
             .route(routes);
     return tls.map(context -> server.secure(spec -> spec.sslContext(context)))
         .orElse(server)
         .bind();
   }
 
-  private static void admit(Connection connection, AtomicInteger open, LimitSettings limits) {
-    if (connection.channel().parent() instanceof io.netty.channel.socket.SocketChannel) {
-      return;
-    }
+  /** Called once a connection; Reactor Netty's own connection hook is called for each request. */
+  private static void admit(Channel channel, AtomicInteger open, LimitSettings limits) {
+    channel.closeFuture().addListener(closed -> open.decrementAndGet());
     if (open.incrementAndGet() > limits.connections()) {
-      connection.dispose();
+      channel.close();
+      return;
     }
-    connection.channel().closeFuture().addListener(closed -> open.decrementAndGet());
-    connection.addHandlerFirst(
-        new WriteTimeoutHandler(limits.callerWriteTimeout().toMillis(), TimeUnit.MILLISECONDS));
+    channel
+        .pipeline()
+        .addFirst(
+            new WriteTimeoutHandler(limits.callerWriteTimeout().toMillis(), TimeUnit.MILLISECONDS));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/synchronization/PlatformReader.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/synchronization/PlatformReader.java
@@ -136,6 +136,9 @@
   }
 
   private void connectToMembers() {
+    if (membership.incarnation() == 0) {
+      return;
+    }
     peers.setPeers(
         membership.members().members().values().stream()
             .filter(member -> !member.boxId().equals(membership.boxId()))
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/engine/EngineFault.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/engine/EngineFault.java
@@ -20,6 +20,8 @@
   DOUBLED,
   /** Cuts a stream after a few tokens. */
   CUT,
+  /** Ends a stream properly after a few tokens, without saying that it is finished. */
+  ENDS_EARLY,
   /** Leaves out one token of a stream. */
   GAP,
   /** Takes five times as long. */
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/engine/EngineStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/engine/EngineStandIn.java
@@ -221,6 +221,7 @@
                         response.withConnection(connection -> connection.channel().close());
                         return Flux.never();
                       }));
+      case ENDS_EARLY -> written.take(TOKENS_BEFORE_CUT);
       case GAP -> written.index().filter(each -> each.getT1() != 1).map(each -> each.getT2());
       default -> written;
     };
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/CallerInterfaceTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/CallerInterfaceTests.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import org.gradeledge.standin.engine.EngineFault;
 import org.gradeledge.standin.engine.EngineModel;
 import org.gradeledge.standin.engine.EngineStandIn;
@@ -10,6 +14,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import reactor.core.publisher.Flux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
 
 class CallerInterfaceTests {
 
@@ -115,12 +122,12 @@
   }
 
   @Test
-  void endsARequestWhoseCallerStopsReadingAndFreesItsUpstream() throws java.io.IOException {
+  void endsARequestWhoseCallerStopsReadingAndFreesItsUpstream() throws IOException {
     long before = deployment.runs.totalCancelled();
     String text = "дълъг".repeat(300);
     String body = "{\"text\":\"" + text + "\"}";
     byte[] bytes = body.getBytes(java.nio.charset.StandardCharsets.UTF_8);
-    try (java.net.Socket socket = new java.net.Socket()) {
+    try (Socket socket = new Socket()) {
       socket.setReceiveBufferSize(1_024);
       socket.connect(new java.net.InetSocketAddress("127.0.0.1", deployment.callerPort(0)));
       String head =
@@ -146,6 +153,46 @@
     assertThat(reply.headers().get("Retry-After")).isNotNull();
   }
 
+  @Test
+  void countsConnectionsAndNotTheRequestsOnThem() {
+    HttpClient one = HttpClient.create(ConnectionProvider.create("one", 1));
+    List<Integer> statuses =
+        Flux.range(0, 2 * TestSettings.CONNECTIONS)
+            .concatMap(i -> one.get().uri(healthUri()).response())
+            .map(response -> response.status().code())
+            .collectList()
+            .block();
+    assertThat(statuses).hasSize(2 * TestSettings.CONNECTIONS).containsOnly(200);
+  }
+
+  @Test
+  void closesConnectionsAboveTheLimit() throws IOException {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i <= TestSettings.CONNECTIONS; i++) {
+        sockets.add(new Socket("127.0.0.1", deployment.callerPort(0)));
+      }
+      assertThat(sockets.get(TestSettings.CONNECTIONS).getInputStream().read()).isEqualTo(-1);
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+    Deployment.await(
+        () ->
+            HttpClient.newConnection()
+                .get()
+                .uri(healthUri())
+                .response()
+                .map(response -> response.status().code() == 200)
+                .onErrorReturn(false)
+                .block());
+  }
+
+  private static String healthUri() {
+    return "http://127.0.0.1:" + deployment.callerPort(0) + "/healthz";
+  }
+
   @Test
   void showsNoTokenInTheMetrics() {
     deployment.call(0).now();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/TestSettings.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/TestSettings.java
@@ -10,6 +10,8 @@
 
   static final String OPERATOR_TOKEN = "token of the operator";
 
+  static final int CONNECTIONS = 200;
+
   private TestSettings() {}
 
   static byte[] text(String boxId, int platformPort, Path secret) {
@@ -38,7 +40,11 @@
         .put("pollMs", 150)
         .put("platformCallMs", 500)
         .put("balancerLagMs", 100);
-    settings.putObject("limits").put("maxBodyBytes", 4_096).put("maxHeaderBytes", 2_048);
+    settings
+        .putObject("limits")
+        .put("maxBodyBytes", 4_096)
+        .put("maxHeaderBytes", 2_048)
+        .put("maxConnections", CONNECTIONS);
     return StandInHttp.write(settings);
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/UpstreamFaultTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/UpstreamFaultTests.java
@@ -90,6 +90,16 @@
     }
   }
 
+  @Test
+  void aStreamThatEndsWithoutSayingSoIsNeverGivenOutAsWhole() {
+    generator.faults().set(EngineFault.ENDS_EARLY);
+    Reply whole = deployment.call(0).key("k").text("a b c d e f g h i j k l").now();
+
+    assertThat(whole.status()).isEqualTo(502);
+    assertThat(whole.reason()).isEqualTo("answer-incomplete");
+    assertThat(whole.verdict()).isEqualTo("may-have-run");
+  }
+
   @Test
   void neverPassesAGapOfAStreamOn() {
     generator.faults().set(EngineFault.GAP);
--- a/measure.sh
+++ b/measure.sh
@@ -9,7 +9,7 @@
 mkdir -p "$results"
 : >"$results/figures.jsonl"
 build
-trap stop_all EXIT
+trap "cp -r \$work /tmp/mwork 2>/dev/null; stop_all" EXIT
 seeds=5; seconds=4; changes=200; rate_seconds=10
 if [ $quick -eq 1 ]; then seeds=1; seconds=2; changes=20; rate_seconds=2; fi
 record() { tee -a "$results/figures.jsonl"; }
