--- a/gradeledge-core/src/main/java/org/gradeledge/admission/StageLimiter.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/admission/StageLimiter.java
@@ -21,17 +21,16 @@
 /**
  * Limits how many calls of one stage this box has in progress, and decides who goes next.
  *
- * <p>Waiting calls start by priority, and within a priority by start-time fair queueing over the
- * accounts' weights, so that one account's flood waits behind itself. A call that can no longer
- * meet its deadline is refused at once, queued or not. Thread-safe.
+ * <p>Waiting calls start by weighted fair queueing over the accounts. An account's share grows with
+ * its weight and its priority; one account's flood waits behind itself, whatever its priority. A
+ * call that can no longer meet its deadline is refused at once, queued or not. Thread-safe.
  *
  * @since 0.1
  */
 public final class StageLimiter {
 
   private static final Comparator<QueuedTicket> ORDER =
-      Comparator.<QueuedTicket>comparingInt(queued -> -queued.ticket().account().priority())
-          .thenComparingDouble(QueuedTicket::fairStart)
+      Comparator.comparingDouble(QueuedTicket::fairFinish)
           .thenComparingLong(QueuedTicket::sequence);
 
   private final String stage;
@@ -66,8 +65,8 @@
 
   /** Returns how long a call of an account would wait, were it to come now. */
   public synchronized Duration expectedWait(AccountDefinition account) {
-    double start = fairStart(account);
-    long ahead = queue.stream().takeWhile(waiting -> goesBefore(waiting, account, start)).count();
+    double finish = fairFinish(account);
+    long ahead = queue.stream().takeWhile(waiting -> waiting.fairFinish() <= finish).count();
     return waitBehind(ahead);
   }
 
@@ -96,9 +95,9 @@
   }
 
   private synchronized QueuedTicket newTicket(StageTicket ticket, MonoSink<Runnable> sink) {
-    double start = fairStart(ticket.account());
+    double finish = fairFinish(ticket.account());
     AtomicBoolean granted = new AtomicBoolean();
-    return new QueuedTicket(ticket, start, sequence++, sink, granted, () -> giveBack(granted));
+    return new QueuedTicket(ticket, finish, sequence++, sink, granted, () -> giveBack(granted));
   }
 
   private void enter(QueuedTicket queued) {
@@ -117,8 +116,7 @@
     if (!ticket.reachable() || expectedWait(ticket.account()).compareTo(ticket.slack()) > 0) {
       return false;
     }
-    double finish = queued.fairStart() + 1.0 / ticket.account().weight();
-    finishOfAccount.put(ticket.account().name(), finish);
+    finishOfAccount.put(ticket.account().name(), queued.fairFinish());
     return queue.add(queued);
   }
 
@@ -158,7 +156,7 @@
     QueuedTicket next = queue.pollFirst();
     running++;
     next.granted().set(true);
-    virtualTime = Math.max(virtualTime, next.fairStart());
+    virtualTime = Math.max(virtualTime, next.fairFinish() - cost(next.ticket().account()));
     forgetIdleAccounts();
     return Optional.of(next);
   }
@@ -195,15 +193,14 @@
     }
   }
 
-  private double fairStart(AccountDefinition account) {
-    return Math.max(virtualTime, finishOfAccount.getOrDefault(account.name(), 0.0));
+  private double fairFinish(AccountDefinition account) {
+    double start = Math.max(virtualTime, finishOfAccount.getOrDefault(account.name(), 0.0));
+    return start + cost(account);
   }
 
-  private static boolean goesBefore(
-      QueuedTicket waiting, AccountDefinition account, double fairStart) {
-    int priority = waiting.ticket().account().priority();
-    return priority > account.priority()
-        || (priority == account.priority() && waiting.fairStart() <= fairStart);
+  /** What one call takes of its account's share, which grows with weight and priority. */
+  private static double cost(AccountDefinition account) {
+    return 1.0 / (account.weight() * (1.0 + account.priority()));
   }
 
   private Duration waitBehind(long ahead) {
--- a/gradeledge-core/src/main/java/org/gradeledge/configuration/AccountDefinition.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/configuration/AccountDefinition.java
@@ -8,8 +8,8 @@
  *
  * @param name unique in the pipeline
  * @param tokenSha256 lower-case hexadecimal SHA-256 digest of its bearer token
- * @param priority 0 (first to be refused under overload) to 9
- * @param weight share of the capacity against other accounts of the same priority
+ * @param priority 0 to 9; the share under overload grows with it
+ * @param weight share under overload, multiplied by one more than the priority
  * @param deadlineMs longest deadline that its requests may ask for, and the default
  * @param requestsPerSecond rate above which requests are refused
  * @since 0.1
--- a/gradeledge-core/src/main/java/org/gradeledge/node/GradeledgeBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/GradeledgeBox.java
@@ -134,7 +134,7 @@
         "heartbeat",
         services.timing.heartbeat(),
         () -> Mono.fromRunnable(services.heartbeats::sendAll));
-    start("load-read", services.timing.heartbeat(), services.loadReports::readAll);
+    start("load-read", services.timing.poll(), services.loadReports::readAll);
   }
 
   private void start(String name, Duration period, java.util.function.Supplier<Mono<Void>> round) {
--- a/gradeledge-core/src/main/java/org/gradeledge/request/RequestService.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/request/RequestService.java
@@ -3,14 +3,10 @@
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
 import org.gradeledge.admission.PipelineLimits;
-import org.gradeledge.claim.Claim;
-import org.gradeledge.claim.ClaimKey;
-import org.gradeledge.claim.ClaimOutcome;
 import org.gradeledge.claim.ClaimService;
 import org.gradeledge.configuration.AccountDefinition;
 import org.gradeledge.configuration.ConfigurationRegistry;
 import org.gradeledge.configuration.PipelineVersion;
-import org.gradeledge.configuration.TextDigest;
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.routing.Router;
 import org.gradeledge.time.Deadline;
@@ -35,12 +31,10 @@
  */
 public final class RequestService {
 
-  private static final Duration RECORD_LIMIT = Duration.ofMillis(500);
-
   private final ConfigurationRegistry configuration;
   private final ServingGate gate;
   private final RequestLimits limits;
-  private final ClaimService claims;
+  private final AtMostOnceRunner atMostOnce;
   private final PipelineRunner runner;
   private final BoxMetrics metrics;
   private final MonotonicClock clock;
@@ -58,7 +52,7 @@
     this.configuration = configuration;
     this.gate = gate;
     this.limits = limits;
-    this.claims = claims;
+    this.atMostOnce = new AtMostOnceRunner(claims, metrics);
     this.runner = new PipelineRunner(new StageRunner(router, protocol, metrics, clock));
     this.metrics = metrics;
     this.clock = clock;
@@ -89,16 +83,12 @@
   private Flux<AnswerEvent> admitAndRun(CallerRequest request, String[] accountName) {
     gate.checkOpen();
     PipelineVersion version = configuration.serving(request.pipeline());
-    AccountDefinition account = account(version, request);
+    AccountDefinition account = CallerChecks.account(version, request);
     accountName[0] = account.name();
-    Duration limit = deadline(account, request);
+    Duration limit = CallerChecks.deadline(account, request);
+    CallerChecks.idempotencyKey(version.file(), request);
     PipelineLimits stageLimits = limits.pipeline(version.file());
     stageLimits.checkReachable(version.file(), account, limit);
-    if (version.file().runsAtMostOnce() && request.idempotencyKey().isEmpty()) {
-      throw RefusalException.because(RefusalReason.IDEMPOTENCY_KEY_MISSING)
-          .detail("a stage of this pipeline runs at most once: Idempotency-Key must be given")
-          .build();
-    }
     RequestContext context =
         new RequestContext(
             request,
@@ -111,7 +101,9 @@
     accountLimiter.enter(account);
     gate.started();
     Flux<AnswerEvent> answer =
-        (request.idempotencyKey().isPresent() ? runClaimed(context) : runBounded(context))
+        (request.idempotencyKey().isPresent()
+                ? atMostOnce.run(context, () -> runBounded(context))
+                : runBounded(context))
             .doFinally(
                 signal -> {
                   accountLimiter.leave();
@@ -144,66 +136,6 @@
         .flux();
   }
 
-  private Flux<AnswerEvent> runClaimed(RequestContext context) {
-    CallerRequest request = context.request();
-    ClaimKey key =
-        new ClaimKey(
-            request.pipeline(), context.account().name(), request.idempotencyKey().orElse(""));
-    return claims
-        .claim(key, request.bodyDigest(), context.file().retention())
-        .timeout(context.deadline().left())
-        .onErrorMap(e -> explain(context, e))
-        .flatMapMany(outcome -> afterClaim(context, outcome));
-  }
-
-  private Flux<AnswerEvent> afterClaim(RequestContext context, ClaimOutcome outcome) {
-    if (outcome instanceof ClaimOutcome.Won won) {
-      return runUnderClaim(context, won.claim());
-    }
-    if (outcome instanceof ClaimOutcome.Answered answered) {
-      return Flux.just(RecordedAnswer.read(answered.result()));
-    }
-    RefusalReason reason =
-        outcome instanceof ClaimOutcome.OtherBody
-            ? RefusalReason.KEY_USED_WITH_ANOTHER_BODY
-            : RefusalReason.KEY_IN_USE;
-    Verdict verdict = reason == RefusalReason.KEY_IN_USE ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-    return Flux.error(
-        RefusalException.because(reason)
-            .verdict(verdict)
-            .detail("the idempotency key was used before")
-            .build());
-  }
-
-  private Flux<AnswerEvent> runUnderClaim(RequestContext context, Claim claim) {
-    return runBounded(context)
-        .concatMap(
-            event ->
-                event instanceof AnswerEvent.Result result
-                    ? record(claim, result).thenReturn(event)
-                    : Mono.just(event))
-        .onErrorResume(RefusalException.class, e -> releaseIfNotRun(claim, e));
-  }
-
-  private Mono<Void> record(Claim claim, AnswerEvent.Result result) {
-    return claims
-        .complete(claim, RecordedAnswer.write(result))
-        .timeout(RECORD_LIMIT)
-        .onErrorResume(
-            e -> {
-              metrics.stateChange("answer-not-recorded");
-              return Mono.empty();
-            });
-  }
-
-  private Flux<AnswerEvent> releaseIfNotRun(Claim claim, RefusalException e) {
-    Mono<Void> release =
-        e.verdict().allowsRepeat()
-            ? claims.release(claim).timeout(RECORD_LIMIT).onErrorComplete()
-            : Mono.empty();
-    return release.thenMany(Flux.error(e));
-  }
-
   private static RefusalException explain(RequestContext context, Throwable e) {
     RequestProgress progress = context.progress();
     if (e instanceof RefusalException refusal) {
@@ -220,31 +152,6 @@
         .build();
   }
 
-  private static AccountDefinition account(PipelineVersion version, CallerRequest request) {
-    AccountDefinition found = null;
-    for (AccountDefinition account : version.file().accounts()) {
-      if (TextDigest.matches(account.tokenSha256(), request.tokenSha256())) {
-        found = account;
-      }
-    }
-    if (found == null) {
-      throw RefusalException.because(RefusalReason.TOKEN_UNKNOWN)
-          .detail("the bearer token must be one of this pipeline's client accounts")
-          .build();
-    }
-    return found;
-  }
-
-  private static Duration deadline(AccountDefinition account, CallerRequest request) {
-    long asked = request.deadlineMs().orElse(account.deadlineMs());
-    if (asked < 1 || asked > account.deadlineMs()) {
-      throw RefusalException.because(RefusalReason.DEADLINE_INVALID)
-          .detail("the deadline must be from 1 to " + account.deadlineMs() + " ms")
-          .build();
-    }
-    return Duration.ofMillis(asked);
-  }
-
   private void count(
       CallerRequest request, String account, Verdict verdict, String reason, long startNanos) {
     boolean known = configuration.inForce(request.pipeline()).isPresent();
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
@@ -1,6 +1,7 @@
 package org.gradeledge.standin;
 
 import org.gradeledge.standin.demo.DemoFilesCommand;
+import org.gradeledge.standin.demo.PlainPipelineCommand;
 import org.gradeledge.standin.engine.EnginesCommand;
 import org.gradeledge.standin.load.LoadCommand;
 import org.gradeledge.standin.measure.ChangesCommand;
@@ -19,6 +20,7 @@
       PlatformCommand.class,
       EnginesCommand.class,
       DemoFilesCommand.class,
+      PlainPipelineCommand.class,
       LoadCommand.class,
       OverheadCommand.class,
       ChangesCommand.class,
