--- a/gradeledge-core/src/main/java/org/gradeledge/caller/CallerRequestReader.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/caller/CallerRequestReader.java
@@ -12,6 +12,7 @@
 import org.gradeledge.request.CallerRequest;
 import org.gradeledge.verdict.RefusalException;
 import org.gradeledge.verdict.RefusalReason;
+import org.jspecify.annotations.Nullable;
 import reactor.netty.http.server.HttpServerRequest;
 
 /** Makes a caller's request of its head and body, or refuses it with what is wrong. */
@@ -32,7 +33,7 @@
         object(body));
   }
 
-  private static OptionalLong deadline(@org.jspecify.annotations.Nullable String header) {
+  private static OptionalLong deadline(@Nullable String header) {
     if (header == null) {
       return OptionalLong.empty();
     }
@@ -46,7 +47,7 @@
     }
   }
 
-  private static Optional<String> idempotencyKey(@org.jspecify.annotations.Nullable String header) {
+  private static Optional<String> idempotencyKey(@Nullable String header) {
     if (header == null) {
       return Optional.empty();
     }
@@ -68,8 +69,7 @@
     }
   }
 
-  private static RefusalException malformed(
-      String detail, @org.jspecify.annotations.Nullable Throwable cause) {
+  private static RefusalException malformed(String detail, @Nullable Throwable cause) {
     return RefusalException.because(RefusalReason.MALFORMED_REQUEST)
         .detail(detail)
         .cause(cause)
--- a/gradeledge-core/src/main/java/org/gradeledge/caller/CallerRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/caller/CallerRoutes.java
@@ -1,5 +1,6 @@
 package org.gradeledge.caller;
 
+import java.nio.charset.StandardCharsets;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import org.gradeledge.http.HttpReplies;
@@ -89,6 +90,6 @@
 
   private static Mono<Void> text(HttpServerResponse response, int status, String body) {
     return HttpReplies.send(
-        response, status, "text/plain", body.getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+        response, status, "text/plain", body.getBytes(StandardCharsets.US_ASCII));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/claim/GroupCommit.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/claim/GroupCommit.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.gradeledge.platform.CommitResult;
 import org.gradeledge.platform.TableCondition;
 import org.gradeledge.platform.TableService;
@@ -42,9 +43,7 @@
 
   private final TableService table;
   private final Sinks.Many<Item> incoming =
-      Sinks.many()
-          .unicast()
-          .onBackpressureBuffer(new java.util.concurrent.LinkedBlockingQueue<>(MOST_WAITING));
+      Sinks.many().unicast().onBackpressureBuffer(new LinkedBlockingQueue<>(MOST_WAITING));
   private final Disposable task;
 
   /** Starts the task that commits; {@link #close} ends it. */
--- a/gradeledge-core/src/main/java/org/gradeledge/http/HttpListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/http/HttpListener.java
@@ -1,6 +1,7 @@
 package org.gradeledge.http;
 
 import io.netty.channel.Channel;
+import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +29,7 @@
   public static Mono<? extends DisposableServer> bind(
       ListenSettings listen, LimitSettings limits, Consumer<HttpServerRoutes> routes) {
     AtomicInteger connections = new AtomicInteger();
-    Optional<io.netty.handler.ssl.SslContext> tls = TlsContexts.httpServer(listen.tls());
+    Optional<SslContext> tls = TlsContexts.httpServer(listen.tls());
     HttpServer server =
         HttpServer.create()
             .bindAddress(listen::address)
--- a/gradeledge-core/src/main/java/org/gradeledge/http/TlsContexts.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/http/TlsContexts.java
@@ -1,5 +1,6 @@
 package org.gradeledge.http;
 
+import io.netty.handler.ssl.ApplicationProtocolConfig;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import java.util.Optional;
@@ -33,12 +34,10 @@
             build(
                 SslContextBuilder.forServer(tls.certificateFile().toFile(), tls.keyFile().toFile())
                     .applicationProtocolConfig(
-                        new io.netty.handler.ssl.ApplicationProtocolConfig(
-                            io.netty.handler.ssl.ApplicationProtocolConfig.Protocol.ALPN,
-                            io.netty.handler.ssl.ApplicationProtocolConfig.SelectorFailureBehavior
-                                .NO_ADVERTISE,
-                            io.netty.handler.ssl.ApplicationProtocolConfig
-                                .SelectedListenerFailureBehavior.ACCEPT,
+                        new ApplicationProtocolConfig(
+                            ApplicationProtocolConfig.Protocol.ALPN,
+                            ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
+                            ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT,
                             "h2",
                             "http/1.1"))));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/membership/GoneMembers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/membership/GoneMembers.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.gradeledge.time.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Watches which members the platform's list no longer shows, and says when one may be marked and
@@ -72,7 +73,7 @@
         .toList();
   }
 
-  private boolean isOlder(@org.jspecify.annotations.Nullable Long since, Duration age) {
+  private boolean isOlder(@Nullable Long since, Duration age) {
     return since != null && nanos.getAsLong() - since >= age.toNanos();
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/metrics/BoxMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/metrics/BoxMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
@@ -115,13 +116,8 @@
     peerBytes.labelValues(type, direction).inc(bytes);
   }
 
-  /** Counts a call to the platform. */
-  public void platformCall(String path, boolean answered) {
-    String[] parts = path.split("/", 5);
-    String call =
-        parts.length > 3
-            ? parts[2] + "-" + (parts[2].equals("table") ? parts[3] : "one")
-            : parts[2];
+  /** Counts a call to the platform, by its name and whether it was answered. */
+  public void platformCall(String call, boolean answered) {
     platformCalls.labelValues(call, answered ? "answered" : "failed").inc();
   }
 
@@ -142,7 +138,7 @@
 
   /** Shows a value that is read whenever the metrics are. */
   public void gauge(String name, String help, DoubleSupplier value) {
-    io.prometheus.metrics.core.metrics.GaugeWithCallback.builder()
+    GaugeWithCallback.builder()
         .name(name)
         .help(help)
         .callback(callback -> callback.call(value.getAsDouble()))
--- a/gradeledge-core/src/main/java/org/gradeledge/metrics/CostLedger.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/metrics/CostLedger.java
@@ -1,5 +1,6 @@
 package org.gradeledge.metrics;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Comparator;
@@ -84,8 +85,7 @@
         byResult);
   }
 
-  private static io.prometheus.metrics.core.datapoints.CounterDataPoint labelled(
-      Counter counter, String[] key, String last) {
+  private static CounterDataPoint labelled(Counter counter, String[] key, String last) {
     return counter.labelValues(key[0], key[1], key[2], last);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/node/BoxServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/BoxServices.java
@@ -1,5 +1,6 @@
 package org.gradeledge.node;
 
+import io.netty.channel.ChannelOption;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -94,8 +95,7 @@
     HttpUpstreamProtocol protocol =
         new HttpUpstreamProtocol(
             HttpClient.create(upstreamConnections)
-                .option(
-                    io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, UPSTREAM_CONNECT_MILLIS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, UPSTREAM_CONNECT_MILLIS)
                 .disableRetry(true),
             settings.limitsOrDefault().answerBytes(),
             metrics,
--- a/gradeledge-core/src/main/java/org/gradeledge/node/GradeledgeBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/GradeledgeBox.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.gradeledge.caller.CallerRoutes;
 import org.gradeledge.http.HttpListener;
 import org.gradeledge.membership.GoneMembers;
@@ -137,7 +138,7 @@
     start("load-read", services.timing.poll(), services.loadReports::readAll);
   }
 
-  private void start(String name, Duration period, java.util.function.Supplier<Mono<Void>> round) {
+  private void start(String name, Duration period, Supplier<Mono<Void>> round) {
     synchronized (tasks) {
       tasks.add(PeriodicTask.start(name, period, services.metrics, round));
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/operator/OperatorRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/operator/OperatorRoutes.java
@@ -1,6 +1,7 @@
 package org.gradeledge.operator;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.gradeledge.membership.Membership;
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.platform.PlatformException;
+import org.gradeledge.settings.OperatorSettings;
 import org.gradeledge.synchronization.Heartbeat;
 import org.gradeledge.synchronization.HeartbeatService;
 import org.gradeledge.verdict.RefusalException;
@@ -58,7 +60,7 @@
    * @param drain starts a planned stop of this box
    */
   public OperatorRoutes(
-      java.util.List<org.gradeledge.settings.OperatorSettings> operators,
+      List<OperatorSettings> operators,
       ChangeCoordinator changes,
       AuditTrail audit,
       ConfigurationRegistry registry,
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerConnection.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
@@ -33,9 +34,7 @@
   private final Connection connection;
   private final PeerHello ownHello;
   private final Sinks.Many<PeerFrame> outgoing =
-      Sinks.many()
-          .unicast()
-          .onBackpressureBuffer(new java.util.concurrent.ArrayBlockingQueue<>(QUEUED_FRAMES));
+      Sinks.many().unicast().onBackpressureBuffer(new ArrayBlockingQueue<>(QUEUED_FRAMES));
   private final Map<Long, Sinks.One<byte[]>> awaited = new ConcurrentHashMap<>();
   private final AtomicLong correlations = new AtomicLong();
   private volatile @Nullable PeerHello otherHello;
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
@@ -1,6 +1,7 @@
 package org.gradeledge.peer;
 
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
@@ -50,7 +51,7 @@
     TcpClient client =
         TcpClient.newConnection()
             .remoteAddress(() -> address)
-            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .doOnConnected(PeerTransport::addFraming);
     return clientTls
         .map(tls -> client.secure(spec -> spec.sslContext(tls)))
--- a/gradeledge-core/src/main/java/org/gradeledge/platform/HttpBoxList.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpBoxList.java
@@ -29,18 +29,24 @@
 
   @Override
   public Mono<List<ListedBox>> list() {
-    return http.call(HttpMethod.GET, PATH, null, OK)
+    return http.call("list-read", HttpMethod.GET, PATH, null, OK)
         .map(answer -> HttpPlatformClient.decode(answer.body(), new TypeReference<>() {}));
   }
 
   @Override
   public Mono<Void> announce(ListedBox box) {
-    return http.call(HttpMethod.PUT, PATH + "/" + box.id(), HttpPlatformClient.encode(box), OK)
+    return http.call(
+            "list-announce",
+            HttpMethod.PUT,
+            PATH + "/" + box.id(),
+            HttpPlatformClient.encode(box),
+            OK)
         .then();
   }
 
   @Override
   public Mono<Void> withdraw(String id) {
-    return http.call(HttpMethod.DELETE, PATH + "/" + id, null, OK, NOT_FOUND).then();
+    return http.call("list-withdraw", HttpMethod.DELETE, PATH + "/" + id, null, OK, NOT_FOUND)
+        .then();
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/platform/HttpObjectStore.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpObjectStore.java
@@ -28,12 +28,12 @@
 
   @Override
   public Mono<Void> put(String key, byte[] content) {
-    return http.call(HttpMethod.PUT, PATH + key, content, OK).then();
+    return http.call("object-put", HttpMethod.PUT, PATH + key, content, OK).then();
   }
 
   @Override
   public Mono<Optional<byte[]>> get(String key) {
-    return http.call(HttpMethod.GET, PATH + key, null, OK, NOT_FOUND)
+    return http.call("object-get", HttpMethod.GET, PATH + key, null, OK, NOT_FOUND)
         .map(answer -> answer.status() == OK ? Optional.of(answer.body()) : Optional.empty());
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/platform/HttpPlatformClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpPlatformClient.java
@@ -29,9 +29,17 @@
     this.metrics = metrics;
   }
 
-  /** Sends a call whose answer has one of the given statuses; any other is a failure. */
+  /**
+   * Sends a call whose answer has one of the given statuses; any other is a failure.
+   *
+   * @param name name of the call in the metrics
+   */
   Mono<HttpPlatformAnswer> call(
-      HttpMethod method, String path, byte @Nullable [] body, int... expectedStatuses) {
+      String name,
+      HttpMethod method,
+      String path,
+      byte @Nullable [] body,
+      int... expectedStatuses) {
     return client
         .headers(headers -> headers.set("Content-Type", "application/json"))
         .request(method)
@@ -46,8 +54,8 @@
         .timeout(limit)
         .onErrorMap(e -> new PlatformException(method + " " + path + " got no answer", e))
         .flatMap(answer -> check(method, path, answer, expectedStatuses))
-        .doOnSuccess(answer -> metrics.platformCall(path, true))
-        .doOnError(e -> metrics.platformCall(path, false));
+        .doOnSuccess(answer -> metrics.platformCall(name, true))
+        .doOnError(e -> metrics.platformCall(name, false));
   }
 
   static byte[] encode(Object value) {
--- a/gradeledge-core/src/main/java/org/gradeledge/platform/HttpTableService.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/platform/HttpTableService.java
@@ -29,6 +29,7 @@
   @Override
   public Mono<CommitResult> commit(TableTransaction transaction) {
     return http.call(
+            "table-commit",
             HttpMethod.POST,
             "/v1/table/commit",
             HttpPlatformClient.encode(transaction),
@@ -39,7 +40,12 @@
 
   @Override
   public Mono<List<TableRow>> read(List<String> prefixes) {
-    return http.call(HttpMethod.POST, "/v1/table/read", HttpPlatformClient.encode(prefixes), OK)
+    return http.call(
+            "table-read",
+            HttpMethod.POST,
+            "/v1/table/read",
+            HttpPlatformClient.encode(prefixes),
+            OK)
         .map(answer -> HttpPlatformClient.decode(answer.body(), new TypeReference<>() {}));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/request/RequestService.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/request/RequestService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import org.gradeledge.admission.PipelineLimits;
 import org.gradeledge.claim.ClaimService;
 import org.gradeledge.configuration.AccountDefinition;
@@ -31,6 +32,8 @@
  */
 public final class RequestService {
 
+  private static final String UNKNOWN = "unknown";
+
   private final ConfigurationRegistry configuration;
   private final ServingGate gate;
   private final RequestLimits limits;
@@ -63,28 +66,31 @@
     return Flux.defer(
         () -> {
           long startNanos = clock.nanos();
-          String[] account = {"unknown"};
+          AtomicReference<String> account = new AtomicReference<>(UNKNOWN);
           return admitAndRun(request, account)
-              .doOnComplete(() -> count(request, account[0], Verdict.COMPLETED, "none", startNanos))
+              .doOnComplete(
+                  () -> count(request, account.get(), Verdict.COMPLETED, "none", startNanos))
               .doOnError(
                   RefusalException.class,
-                  e -> count(request, account[0], e.verdict(), e.reason().wireName(), startNanos))
+                  e ->
+                      count(request, account.get(), e.verdict(), e.reason().wireName(), startNanos))
               .doOnCancel(
                   () ->
                       count(
                           request,
-                          account[0],
+                          account.get(),
                           Verdict.MAY_HAVE_RUN,
                           RefusalReason.CALLER_LEFT.wireName(),
                           startNanos));
         });
   }
 
-  private Flux<AnswerEvent> admitAndRun(CallerRequest request, String[] accountName) {
+  private Flux<AnswerEvent> admitAndRun(
+      CallerRequest request, AtomicReference<String> accountName) {
     gate.checkOpen();
     PipelineVersion version = configuration.serving(request.pipeline());
     AccountDefinition account = CallerChecks.account(version, request);
-    accountName[0] = account.name();
+    accountName.set(account.name());
     Duration limit = CallerChecks.deadline(account, request);
     CallerChecks.idempotencyKey(version.file(), request);
     PipelineLimits stageLimits = limits.pipeline(version.file());
@@ -156,7 +162,7 @@
       CallerRequest request, String account, Verdict verdict, String reason, long startNanos) {
     boolean known = configuration.inForce(request.pipeline()).isPresent();
     metrics.request(
-        known ? request.pipeline() : "unknown",
+        known ? request.pipeline() : UNKNOWN,
         account,
         verdict.wireName(),
         reason,
--- a/gradeledge-core/src/main/java/org/gradeledge/request/StageRunner.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/request/StageRunner.java
@@ -22,6 +22,7 @@
 import org.gradeledge.verdict.RefusalException;
 import org.gradeledge.verdict.RefusalReason;
 import org.gradeledge.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -164,7 +165,7 @@
     }
 
     private RefusalException refusal(
-        RefusalReason reason, Verdict verdict, @org.jspecify.annotations.Nullable Throwable cause) {
+        RefusalReason reason, Verdict verdict, @Nullable Throwable cause) {
       return RefusalException.because(reason)
           .verdict(verdict)
           .stage(stage.name())
--- a/gradeledge-core/src/main/java/org/gradeledge/upstream/CompletionStream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/upstream/CompletionStream.java
@@ -6,6 +6,7 @@
 import org.gradeledge.document.JsonMappers;
 import org.gradeledge.verdict.RefusalReason;
 import org.gradeledge.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
 import reactor.netty.ByteBufFlux;
 
@@ -44,7 +45,7 @@
         stream -> stream.events.close());
   }
 
-  private @org.jspecify.annotations.Nullable UpstreamEvent accept(ServerSentEvents.Event event) {
+  private @Nullable UpstreamEvent accept(ServerSentEvents.Event event) {
     if (DONE.equals(event.data()) || finished) {
       return null;
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/upstream/HttpUpstreamProtocol.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/upstream/HttpUpstreamProtocol.java
@@ -12,6 +12,7 @@
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.verdict.RefusalReason;
 import org.gradeledge.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -163,10 +164,7 @@
   }
 
   private static UpstreamException failure(
-      Verdict verdict,
-      RefusalReason reason,
-      String message,
-      @org.jspecify.annotations.Nullable Throwable cause) {
+      Verdict verdict, RefusalReason reason, String message, @Nullable Throwable cause) {
     return new UpstreamException(verdict, reason, message, cause);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/verdict/RefusalReason.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/verdict/RefusalReason.java
@@ -1,5 +1,7 @@
 package org.gradeledge.verdict;
 
+import java.util.Locale;
+
 /**
  * Why a request was not answered with a result, with the HTTP status that tells it.
  *
@@ -49,6 +51,6 @@
 
   /** Returns the name used in answers, metrics and logs. */
   public String wireName() {
-    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/ArchitectureTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/ArchitectureTests.java
@@ -7,6 +7,7 @@
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
 
 class ArchitectureTests {
 
@@ -56,7 +57,7 @@
   void nothingBlocksOnAnEventLoop() {
     noClasses()
         .should()
-        .callMethod(reactor.core.publisher.Mono.class, "block")
+        .callMethod(Mono.class, "block")
         .orShould()
         .callMethod(Thread.class, "sleep", long.class)
         .check(CLASSES);
--- a/gradeledge-core/src/test/java/org/gradeledge/fuzz/ReadersFuzzTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/fuzz/ReadersFuzzTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -29,7 +30,7 @@
       @ForAll @IntRange(max = 100_000) int place, @ForAll byte value, @ForAll boolean cut) {
     byte[] damaged = good.clone();
     damaged[place % damaged.length] = value;
-    byte[] text = cut ? java.util.Arrays.copyOf(damaged, place % damaged.length) : damaged;
+    byte[] text = cut ? Arrays.copyOf(damaged, place % damaged.length) : damaged;
     files.read(text).peekLeft(faults -> assertThat(faults).isNotEmpty());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/settings/SettingsReaderTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/settings/SettingsReaderTests.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.gradeledge.document.Fault;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -58,8 +60,7 @@
         "\"operators\":[ | \"operator\":[ | ''"
       })
   void namesThePlaceOfAFault(String part, String replaced, String pointer) {
-    List<Fault> faults =
-        read(good.replaceFirst(java.util.regex.Pattern.quote(part), replaced)).getLeft();
+    List<Fault> faults = read(good.replaceFirst(Pattern.quote(part), replaced)).getLeft();
     assertThat(faults).extracting(Fault::pointer).contains(pointer);
   }
 
@@ -75,7 +76,7 @@
         .contains("/caller/tls/certificateFile", "/caller/tls/keyFile", "/peer/secretFile");
   }
 
-  private static io.vavr.control.Either<List<Fault>, BoxSettings> read(String text) {
+  private static Either<List<Fault>, BoxSettings> read(String text) {
     return new SettingsReader().read(text.getBytes(StandardCharsets.UTF_8));
   }
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/demo/DemoFilesCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/demo/DemoFilesCommand.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -110,6 +111,6 @@
 
   private static JsonNode firstLine(Path file) throws IOException {
     List<String> lines = Files.readAllLines(file);
-    return StandInHttp.parse(lines.get(0).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    return StandInHttp.parse(lines.get(0).getBytes(StandardCharsets.UTF_8));
   }
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/measure/ChangesCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/measure/ChangesCommand.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
@@ -63,7 +64,7 @@
         others.add(status);
       }
       if (gapMillis > 0) {
-        Mono.delay(java.time.Duration.ofMillis(gapMillis)).block();
+        Mono.delay(Duration.ofMillis(gapMillis)).block();
       }
     }
     double seconds = (System.nanoTime() - begin) / 1e9;
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/measure/OverheadCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/measure/OverheadCommand.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -120,9 +121,7 @@
         .headers(headers -> headers.set("Authorization", "Bearer " + token))
         .post()
         .uri(uri)
-        .send(
-            Mono.fromSupplier(
-                () -> Unpooled.copiedBuffer(body, java.nio.charset.StandardCharsets.UTF_8)))
+        .send(Mono.fromSupplier(() -> Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)))
         .responseSingle(
             (response, content) -> content.asByteArray().thenReturn(response.status().code()));
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/CallerInterfaceTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/CallerInterfaceTests.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.gradeledge.standin.engine.EngineFault;
@@ -129,7 +130,7 @@
     long before = deployment.runs.totalCancelled();
     String text = "дълъг".repeat(300);
     String body = "{\"text\":\"" + text + "\"}";
-    byte[] bytes = body.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
     try (Socket socket = new Socket()) {
       socket.setReceiveBufferSize(1_024);
       socket.connect(new InetSocketAddress("127.0.0.1", deployment.callerPort(0)));
@@ -139,7 +140,7 @@
               + "\r\nAccept: text/event-stream\r\nContent-Length: "
               + bytes.length
               + "\r\n\r\n";
-      socket.getOutputStream().write(head.getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
       socket.getOutputStream().write(bytes);
 
       Deployment.await(() -> deployment.runs.totalCancelled() > before);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/PlannedStopProcessTest.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/PlannedStopProcessTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -61,7 +62,7 @@
       Reply again = deployment.call(1).key("cut").now();
       assertThat(again.verdict()).isEqualTo("may-have-run");
       assertThat(deployment.runs.runsOfKey("cut")).isLessThanOrEqualTo(1);
-      assertThatThrownBy(cut::join).hasCauseInstanceOf(java.io.IOException.class);
+      assertThatThrownBy(cut::join).hasCauseInstanceOf(IOException.class);
     }
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/ProcessDeployment.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/ProcessDeployment.java
@@ -1,5 +1,6 @@
 package org.gradeledge.standin;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -76,8 +77,7 @@
     return operators(box)
         .submit(file, base, id)
         .timeout(LIMIT)
-        .onErrorReturn(
-            new Reply(-1, new io.netty.handler.codec.http.DefaultHttpHeaders(), new byte[0]));
+        .onErrorReturn(new Reply(-1, new DefaultHttpHeaders(), new byte[0]));
   }
 
   boolean isReady(int box) {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/TlsTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/TlsTests.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import javax.net.ssl.SSLException;
 import org.gradeledge.node.BoxPorts;
 import org.gradeledge.node.GradeledgeBox;
 import org.gradeledge.settings.SettingsReader;
@@ -111,7 +112,7 @@
               .trustManager(certificate.certificateFile().toFile())
               .build();
       return HttpClient.newConnection().secure(spec -> spec.sslContext(context));
-    } catch (javax.net.ssl.SSLException e) {
+    } catch (SSLException e) {
       throw new IllegalStateException(e);
     }
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/UpstreamFaultTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/UpstreamFaultTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.gradeledge.standin.engine.EngineFault;
 import org.gradeledge.standin.engine.EngineStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -111,10 +112,7 @@
     List<String> offsets = reply.text().lines().filter(line -> line.startsWith("id: ")).toList();
     assertThat(offsets)
         .isNotEmpty()
-        .isEqualTo(
-            java.util.stream.IntStream.range(0, offsets.size())
-                .mapToObj(offset -> "id: " + offset)
-                .toList());
+        .isEqualTo(IntStream.range(0, offsets.size()).mapToObj(offset -> "id: " + offset).toList());
   }
 
   @Test
