--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -0,0 +1,97 @@
+package org.gradeledge.batch;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.CallListener;
+
+/** One call for a batch of pieces; gathers the answer. Confined to the event loop. */
+final class BatchCall implements CallListener {
+
+  /** Hears how the call ended. */
+  interface Listener {
+
+    /** The upstream answered. */
+    void answered(BatchCall call, int status, byte[] body);
+
+    /** There is no whole answer. */
+    void failed(BatchCall call, Optional<CallFailure> failure);
+  }
+
+  private static final int MOST_BYTES = 1024 * 1024;
+
+  private final BatchUpstream target;
+  private final List<StagePiece> pieces;
+  private final long startNanos;
+  private final Listener listener;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private boolean over;
+
+  BatchCall(BatchUpstream target, List<StagePiece> pieces, long startNanos, Listener listener) {
+    this.target = target;
+    this.pieces = pieces;
+    this.startNanos = startNanos;
+    this.listener = listener;
+  }
+
+  BatchUpstream target() {
+    return target;
+  }
+
+  List<StagePiece> pieces() {
+    return pieces;
+  }
+
+  long startNanos() {
+    return startNanos;
+  }
+
+  long resultBytes() {
+    return pieces.stream().mapToLong(piece -> piece.group().group().resultBytes()).sum();
+  }
+
+  void timedOut() {
+    end(() -> listener.failed(this, Optional.empty()));
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  @Override
+  public void onHead(int answeredStatus, HttpHeaders headers) {
+    status = answeredStatus;
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (body.size() + content.readableBytes() > MOST_BYTES) {
+      onFailure(CallFailure.GARBLED);
+      return;
+    }
+    byte[] bytes = new byte[content.readableBytes()];
+    content.readBytes(bytes);
+    body.writeBytes(bytes);
+  }
+
+  @Override
+  public void onComplete() {
+    end(() -> listener.answered(this, status, body.toByteArray()));
+  }
+
+  @Override
+  public void onFailure(CallFailure failure) {
+    end(() -> listener.failed(this, Optional.of(failure)));
+  }
+
+  private void end(Runnable action) {
+    if (!over) {
+      over = true;
+      action.run();
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -0,0 +1,132 @@
+package org.gradeledge.batch;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.gradeledge.connection.UpstreamCaller;
+import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.time.MonotonicClock;
+
+/**
+ * Makes the pieces of all requests that are handed to this box, in shared calls.
+ *
+ * <p>Confined to the event loop.
+ *
+ * @since 0.2
+ */
+public final class BatchCoordinator {
+
+  private final EventLoop loop;
+  private final BatchServices services;
+  private final ResultRelease release;
+  private final Map<String, BatchQueue> queues = new HashMap<>();
+
+  private BatchCoordinator(Builder builder) {
+    this.loop = builder.loop;
+    this.release = new ResultRelease(loop, builder.caller, builder.upstreams, builder.protocol);
+    this.services =
+        new BatchServices(
+            builder.box,
+            builder.clock,
+            builder.upstreams,
+            builder.board,
+            builder.budget,
+            builder.caller,
+            builder.protocol,
+            builder.events,
+            builder.limits,
+            this::free);
+    builder.upstreams.onEnd(upstream -> queue(upstream.service()).dispatch());
+  }
+
+  /** Starts the work on a group; the listener hears once how it ended, unless it is cancelled. */
+  public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+    queue(group.service()).submit(group, listener);
+  }
+
+  /** Drops the pieces of a request that wait for a service. */
+  public void cancel(String service, String requestId) {
+    queue(service).cancel(requestId);
+  }
+
+  /** Gives results up that nobody needs any more. */
+  public void free(List<String> handles) {
+    release.release(handles);
+    queues.values().forEach(queue -> queue.freed(handles));
+  }
+
+  /** Returns how many pieces wait for a service. */
+  public int waitingPieces(String service) {
+    return Optional.ofNullable(queues.get(service)).map(BatchQueue::waitingPieces).orElse(0);
+  }
+
+  private BatchQueue queue(String service) {
+    return queues.computeIfAbsent(service, name -> new BatchQueue(name, services, loop));
+  }
+
+  /** Returns a builder without any part. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Builds a coordinator; every part must be given. */
+  public static final class Builder {
+
+    private String box;
+    private EventLoop loop;
+    private MonotonicClock clock;
+    private UpstreamRegistry upstreams;
+    private LoadBoard board;
+    private RetryBudget budget;
+    private UpstreamCaller caller;
+    private StageProtocol protocol;
+    private EventLog events;
+    private Function<String, Optional<BatchLimits>> limits;
+
+    private Builder() {}
+
+    /** Sets the name of the box and where its work is done. */
+    public Builder box(String name, EventLoop eventLoop, MonotonicClock monotonicClock) {
+      this.box = name;
+      this.loop = eventLoop;
+      this.clock = monotonicClock;
+      return this;
+    }
+
+    /** Sets where the upstreams and their limits are known. */
+    public Builder upstreams(
+        UpstreamRegistry registry, Function<String, Optional<BatchLimits>> limitsOf) {
+      this.upstreams = registry;
+      this.limits = limitsOf;
+      return this;
+    }
+
+    /** Sets how upstreams are called. */
+    public Builder calls(UpstreamCaller upstreamCaller, StageProtocol stageProtocol) {
+      this.caller = upstreamCaller;
+      this.protocol = stageProtocol;
+      return this;
+    }
+
+    /** Sets what the box believes of upstreams, and what it may repeat. */
+    public Builder beliefs(LoadBoard loadBoard, RetryBudget retryBudget, EventLog eventLog) {
+      this.board = loadBoard;
+      this.budget = retryBudget;
+      this.events = eventLog;
+      return this;
+    }
+
+    /** Returns the coordinator. */
+    public BatchCoordinator build() {
+      return new BatchCoordinator(this);
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -0,0 +1,272 @@
+package org.gradeledge.batch;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.UpstreamCall;
+import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRecord;
+
+/**
+ * The pieces that wait for one service, and the calls that make them. An upstream that is free gets
+ * a call at once with as many of the most urgent pieces as it takes; while all are busy the queue
+ * grows, and with it the calls. Confined to the event loop.
+ */
+final class BatchQueue implements BatchCall.Listener {
+
+  private static final int HTTP_OK = 200;
+  private static final int HTTP_UNAVAILABLE = 503;
+  private static final double LIMIT_FACTOR = 2.5;
+  private static final long LIMIT_EXTRA_MILLIS = 400;
+  private static final long FULL_PAUSE_MILLIS = 60;
+  private static final long ROOM_PAUSE_MILLIS = 100;
+  private static final long LOOK_AGAIN_MILLIS = 25;
+
+  private final String service;
+  private final BatchServices services;
+  private final EventLoop loop;
+  private final List<StagePiece> waiting = new ArrayList<>();
+  private final HeldResults held;
+  private final BatchUpstreams upstreams;
+  private boolean lookingAgain;
+
+  BatchQueue(String service, BatchServices services, EventLoop loop) {
+    this.service = service;
+    this.services = services;
+    this.loop = loop;
+    this.held = new HeldResults(services.clock());
+    this.upstreams = new BatchUpstreams(service, services, held);
+  }
+
+  void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+    GroupInProgress started =
+        new GroupInProgress(group, services.box(), services.clock().nanos(), listener);
+    for (int index = 0; index < group.pieces(); index++) {
+      waiting.add(new StagePiece(started, index));
+    }
+    dispatch();
+  }
+
+  void cancel(String requestId) {
+    List<StagePiece> dropped =
+        waiting.stream()
+            .filter(piece -> piece.group().group().requestId().equals(requestId))
+            .toList();
+    waiting.removeAll(dropped);
+    dropped.forEach(piece -> piece.group().cancel());
+  }
+
+  void freed(List<String> handles) {
+    held.remove(handles);
+    dispatch();
+  }
+
+  int waitingPieces() {
+    return waiting.size();
+  }
+
+  /** Makes calls as long as there are pieces and upstreams that are free. */
+  void dispatch() {
+    Optional<BatchLimits> limits = services.limits(service);
+    if (waiting.isEmpty() || limits.isEmpty()) {
+      return;
+    }
+    long now = services.clock().nanos();
+    dropLate(limits.get(), now);
+    sort(limits.get(), now);
+    boolean called = true;
+    while (called && !waiting.isEmpty()) {
+      called = callOne(limits.get(), now);
+    }
+    if (!waiting.isEmpty()) {
+      lookAgain();
+    }
+  }
+
+  private void lookAgain() {
+    if (!lookingAgain) {
+      lookingAgain = true;
+      loop.schedule(
+          () -> {
+            lookingAgain = false;
+            dispatch();
+          },
+          LOOK_AGAIN_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void dropLate(BatchLimits limits, long now) {
+    double shortest = limits.expectedMillis(1);
+    List<StagePiece> late =
+        waiting.stream().filter(piece -> piece.group().leftMillis(now) < shortest).toList();
+    late.forEach(piece -> end(piece.group(), StageOutcome.LATE));
+    waiting.removeIf(piece -> piece.group().isOver());
+  }
+
+  /** Pieces that can still be in time go first; those that cannot are worth little. */
+  private void sort(BatchLimits limits, long now) {
+    double call = limits.expectedMillis(1);
+    waiting.sort(
+        Comparator.comparing((StagePiece piece) -> !piece.group().inTimeAfter(call, now))
+            .thenComparingLong(piece -> piece.group().orderNanos()));
+  }
+
+  private boolean callOne(BatchLimits limits, long now) {
+    int items = Math.min(waiting.size(), limits.itemsPerCall());
+    return upstreams.worthCalling(limits, items, now).stream()
+        .anyMatch(each -> call(each, limits, now));
+  }
+
+  private boolean call(BatchUpstream target, BatchLimits limits, long now) {
+    List<StagePiece> chosen = choose(limits, upstreams.roomBytes(target, limits));
+    if (chosen.isEmpty()) {
+      return false;
+    }
+    waiting.removeAll(chosen);
+    BatchCall call = new BatchCall(target, chosen, now, this);
+    double expected = target.expectedMillis(limits, chosen.size());
+    target.started(call.resultBytes(), expected, now);
+    services.board().started(target.upstream(), 0);
+    List<CallItem> items =
+        chosen.stream()
+            .map(p -> new CallItem(p.group().group(), p.index(), p.group().leftMillis(now)))
+            .toList();
+    UpstreamCall running =
+        services
+            .caller()
+            .call(
+                target.upstream(), services.protocol().encodeCall(target.upstream(), items), call);
+    long limit = (long) (expected * LIMIT_FACTOR) + LIMIT_EXTRA_MILLIS;
+    loop.schedule(() -> giveUp(call, running), limit, TimeUnit.MILLISECONDS);
+    return true;
+  }
+
+  private List<StagePiece> choose(BatchLimits limits, long roomBytes) {
+    List<StagePiece> chosen = new ArrayList<>();
+    long left = roomBytes;
+    for (StagePiece piece : waiting) {
+      long bytes = piece.group().group().resultBytes();
+      if (chosen.size() < limits.itemsPerCall() && bytes <= left) {
+        chosen.add(piece);
+        left -= bytes;
+      }
+    }
+    return chosen;
+  }
+
+  private static void giveUp(BatchCall call, UpstreamCall running) {
+    if (!call.isOver()) {
+      running.cancel();
+      call.timedOut();
+    }
+  }
+
+  @Override
+  public void answered(BatchCall call, int status, byte[] body) {
+    ended(call);
+    if (status == HTTP_OK) {
+      services
+          .protocol()
+          .decodeAnswer(body, call.pieces().size())
+          .peek(results -> take(call, results))
+          .peekLeft(why -> tryAgain(call, true, why));
+    } else if (status == HTTP_UNAVAILABLE) {
+      services.board().pause(call.target().upstream(), FULL_PAUSE_MILLIS);
+      tryAgain(call, true, "full");
+    } else {
+      services.board().failed(call.target().upstream(), false, "status " + status);
+      tryAgain(call, true, "status " + status);
+    }
+    dispatch();
+  }
+
+  @Override
+  public void failed(BatchCall call, Optional<CallFailure> failure) {
+    ended(call);
+    boolean sent = failure.map(CallFailure::sent).orElse(true);
+    String why = failure.map(CallFailure::name).orElse("no answer in time");
+    services.board().failed(call.target().upstream(), !sent || failure.isEmpty(), why);
+    tryAgain(call, sent, why);
+    dispatch();
+  }
+
+  private void ended(BatchCall call) {
+    call.target().ended(call.resultBytes());
+    services.board().ended(call.target().upstream(), 0);
+  }
+
+  private void take(BatchCall call, List<PieceResult> results) {
+    double millis = (services.clock().nanos() - call.startNanos()) / 1e6;
+    BatchLimits limits = services.limits(service).orElseThrow();
+    call.target().measured(millis / limits.expectedMillis(call.pieces().size()));
+    services.board().succeeded(call.target().upstream(), millis);
+    for (int i = 0; i < results.size(); i++) {
+      take(call, call.pieces().get(i), results.get(i), limits);
+    }
+  }
+
+  private void take(BatchCall call, StagePiece piece, PieceResult result, BatchLimits limits) {
+    UpstreamRecord upstream = call.target().upstream();
+    switch (result.kind()) {
+      case MADE -> made(piece, result.handle().orElseThrow(), upstream, limits);
+      case LATE -> end(piece.group(), StageOutcome.LATE);
+      case GONE -> end(piece.group(), StageOutcome.GONE);
+      case NO_ROOM -> {
+        services.board().pause(upstream, ROOM_PAUSE_MILLIS);
+        tryAgain(List.of(piece), true, "no room", upstream);
+      }
+      case ERROR -> tryAgain(List.of(piece), true, "error", upstream);
+      default -> throw new IllegalStateException("unknown result " + result.kind());
+    }
+  }
+
+  private void made(StagePiece piece, String handle, UpstreamRecord upstream, BatchLimits limits) {
+    GroupInProgress group = piece.group();
+    if (group.isOver()) {
+      services.free(List.of(handle));
+      return;
+    }
+    held.add(handle, upstream.id(), group.group().resultBytes(), limits.resultMillis());
+    group.made(piece.index(), handle);
+  }
+
+  private void tryAgain(BatchCall call, boolean sent, String why) {
+    tryAgain(call.pieces(), sent, why, call.target().upstream());
+  }
+
+  private void tryAgain(List<StagePiece> pieces, boolean sent, String why, UpstreamRecord from) {
+    List<StagePiece> wanted = pieces.stream().filter(piece -> !piece.group().isOver()).toList();
+    boolean allowed = !sent || services.budget().trySpend(service, wanted.size());
+    services
+        .events()
+        .problem("pieces-failed")
+        .with("service", service)
+        .with("upstream", from.id())
+        .with("why", why)
+        .with("pieces", wanted.size())
+        .with("again", allowed ? "yes" : "no, retry budget spent")
+        .with("requests", requestIds(wanted))
+        .write();
+    if (allowed) {
+      waiting.addAll(wanted);
+    } else {
+      wanted.forEach(piece -> end(piece.group(), StageOutcome.FAILED));
+    }
+  }
+
+  private static String requestIds(List<StagePiece> pieces) {
+    return String.join(
+        ",", pieces.stream().map(piece -> piece.group().group().requestId()).distinct().toList());
+  }
+
+  private void end(GroupInProgress group, StageOutcome outcome) {
+    services.free(group.leftOver());
+    group.fail(outcome);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -0,0 +1,65 @@
+package org.gradeledge.batch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRecord;
+
+/** The upstreams of one service and which of them to call next. Confined to the event loop. */
+final class BatchUpstreams {
+
+  private static final double SLOW_EXCUSE = 1.15;
+
+  private final String service;
+  private final BatchServices services;
+  private final HeldResults held;
+  private final Map<String, BatchUpstream> byId = new HashMap<>();
+
+  BatchUpstreams(String service, BatchServices services, HeldResults held) {
+    this.service = service;
+    this.services = services;
+    this.held = held;
+  }
+
+  /**
+   * Returns the upstreams that are free, fastest first; one so slow that waiting for another would
+   * be faster is left out.
+   */
+  List<BatchUpstream> worthCalling(BatchLimits limits, int items, long now) {
+    List<BatchUpstream> known = usable();
+    double soonest =
+        known.stream()
+            .mapToDouble(each -> each.doneAfterMillis(limits, items, now))
+            .min()
+            .orElse(0);
+    Comparator<BatchUpstream> fastest =
+        Comparator.comparingDouble(each -> each.expectedMillis(limits, items));
+    return known.stream()
+        .filter(each -> each.free(limits))
+        .filter(each -> each.expectedMillis(limits, items) <= soonest * SLOW_EXCUSE)
+        .sorted(fastest.thenComparingLong(this::occupiedBytes))
+        .toList();
+  }
+
+  /** Returns the room for results that an upstream has left. */
+  long roomBytes(BatchUpstream target, BatchLimits limits) {
+    return limits.roomBytes() - occupiedBytes(target);
+  }
+
+  private long occupiedBytes(BatchUpstream target) {
+    return held.bytesAt(target.upstream().id()) + target.reservedBytes();
+  }
+
+  private List<BatchUpstream> usable() {
+    byId.keySet().removeIf(id -> !services.upstreams().isUsable(id));
+    List<UpstreamRecord> listed = services.upstreams().usable(service);
+    List<UpstreamRecord> sound =
+        listed.stream().filter(each -> !services.board().avoided(each)).toList();
+    List<UpstreamRecord> chosen = sound.isEmpty() ? listed : sound;
+    return chosen.stream()
+        .map(each -> byId.computeIfAbsent(each.id(), id -> new BatchUpstream(each)))
+        .toList();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -0,0 +1,84 @@
+package org.gradeledge.batch;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** A group whose pieces are being made. Confined to the event loop. */
+final class GroupInProgress {
+
+  private static final long PRIORITY_NANOS = 400_000_000L;
+
+  private final StageGroup group;
+  private final String box;
+  private final Consumer<StageGroupResult> listener;
+  private final long dueNanos;
+  private final long endNanos;
+  private final @Nullable String[] handles;
+  private int missing;
+  private boolean over;
+
+  GroupInProgress(
+      StageGroup group, String box, long nowNanos, Consumer<StageGroupResult> listener) {
+    this.group = group;
+    this.box = box;
+    this.listener = listener;
+    this.dueNanos = nowNanos + group.dueMillis() * 1_000_000;
+    this.endNanos = nowNanos + group.remainingMillis() * 1_000_000;
+    this.handles = new String[group.pieces()];
+    this.missing = group.pieces();
+  }
+
+  StageGroup group() {
+    return group;
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  long leftMillis(long nowNanos) {
+    return (endNanos - nowNanos) / 1_000_000;
+  }
+
+  /** Returns whether results that come after so many milliseconds are still in time. */
+  boolean inTimeAfter(double millis, long nowNanos) {
+    return nowNanos + (long) (millis * 1e6) <= dueNanos;
+  }
+
+  /** Returns the moment by which groups are put in order; a less urgent one counts as due later. */
+  long orderNanos() {
+    return dueNanos + group.priority() * PRIORITY_NANOS;
+  }
+
+  void made(int index, String handle) {
+    handles[index] = handle;
+    missing--;
+    if (missing == 0 && !over) {
+      end(StageOutcome.MADE, Arrays.stream(handles).map(Objects::requireNonNull).toList());
+    }
+  }
+
+  void fail(StageOutcome outcome) {
+    if (!over) {
+      end(outcome, List.of());
+    }
+  }
+
+  /** Ends without telling anybody. */
+  void cancel() {
+    over = true;
+  }
+
+  /** Returns the results that exist although nobody wants them any more. */
+  List<String> leftOver() {
+    return Arrays.stream(handles).filter(Objects::nonNull).map(Objects::requireNonNull).toList();
+  }
+
+  private void end(StageOutcome outcome, List<String> made) {
+    over = true;
+    listener.accept(new StageGroupResult(outcome, made, box));
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
@@ -0,0 +1,77 @@
+package org.gradeledge.batch;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.CallListener;
+import org.gradeledge.connection.UpstreamCaller;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+
+/**
+ * Gives up results at the upstreams that hold them, many in one call. A call that fails is not
+ * repeated: the upstream forgets results by itself. Confined to the event loop.
+ */
+final class ResultRelease {
+
+  private static final long GATHER_MILLIS = 8;
+
+  private static final CallListener NOBODY =
+      new CallListener() {
+        @Override
+        public void onHead(int status, HttpHeaders headers) {}
+
+        @Override
+        public void onContent(ByteBuf content) {}
+
+        @Override
+        public void onComplete() {}
+
+        @Override
+        public void onFailure(CallFailure failure) {}
+      };
+
+  private final EventLoop loop;
+  private final UpstreamCaller caller;
+  private final UpstreamRegistry upstreams;
+  private final StageProtocol protocol;
+  private final Map<String, List<String>> byAddress = new HashMap<>();
+
+  ResultRelease(
+      EventLoop loop, UpstreamCaller caller, UpstreamRegistry upstreams, StageProtocol protocol) {
+    this.loop = loop;
+    this.caller = caller;
+    this.upstreams = upstreams;
+    this.protocol = protocol;
+  }
+
+  void release(List<String> handles) {
+    if (byAddress.isEmpty() && !handles.isEmpty()) {
+      loop.schedule(this::flush, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+    handles.forEach(
+        handle ->
+            byAddress
+                .computeIfAbsent(protocol.addressOf(handle), address -> new ArrayList<>())
+                .add(handle));
+  }
+
+  private void flush() {
+    Map<String, List<String>> flushed = Map.copyOf(byAddress);
+    byAddress.clear();
+    upstreams.all().stream()
+        .filter(upstream -> flushed.containsKey(upstream.address()))
+        .toList()
+        .forEach(upstream -> call(upstream, flushed.get(upstream.address())));
+  }
+
+  private void call(UpstreamRecord upstream, List<String> handles) {
+    caller.call(upstream, protocol.encodeFree(upstream, handles), NOBODY);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
@@ -0,0 +1,31 @@
+package org.gradeledge.batch;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * All pieces of one stage of one request, as it is handed to the box that makes the calls.
+ *
+ * @param service service that makes the pieces
+ * @param requestId id of the request
+ * @param stage number of the stage
+ * @param pieces how many pieces
+ * @param key what the first stages work from, absent where there are inputs
+ * @param inputs results of earlier stages
+ * @param resultBytes about how large one result is
+ * @param priority 0 is the most urgent
+ * @param dueMillis time left until the results come late for the request's target, may be negative
+ * @param remainingMillis time left until they are worth nothing
+ * @since 0.2
+ */
+public record StageGroup(
+    String service,
+    String requestId,
+    int stage,
+    int pieces,
+    Optional<String> key,
+    List<String> inputs,
+    long resultBytes,
+    int priority,
+    long dueMillis,
+    long remainingMillis) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroupResult.java
@@ -0,0 +1,13 @@
+package org.gradeledge.batch;
+
+import java.util.List;
+
+/**
+ * What came of a group of pieces.
+ *
+ * @param outcome how it ended
+ * @param handles where the results lie, in the order of the pieces; empty unless made
+ * @param box the box that made the calls
+ * @since 0.2
+ */
+public record StageGroupResult(StageOutcome outcome, List<String> handles, String box) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StagePiece.java
@@ -0,0 +1,21 @@
+package org.gradeledge.batch;
+
+/** One piece on its way through the queue. Confined to the event loop. */
+final class StagePiece {
+
+  private final GroupInProgress group;
+  private final int index;
+
+  StagePiece(GroupInProgress group, int index) {
+    this.group = group;
+    this.index = index;
+  }
+
+  GroupInProgress group() {
+    return group;
+  }
+
+  int index() {
+    return index;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallFailure.java
@@ -0,0 +1,28 @@
+package org.gradeledge.connection;
+
+/**
+ * Why a call got no whole answer.
+ *
+ * @since 0.2
+ */
+public enum CallFailure {
+  /** The box has as many connections to the upstream as it may have. */
+  NO_CONNECTION_FREE(false),
+  /** The upstream could not be connected to. */
+  NOT_CONNECTED(false),
+  /** The connection ended after the request was written. */
+  BROKEN(true),
+  /** The upstream sent bytes that are no answer. */
+  GARBLED(true);
+
+  private final boolean sent;
+
+  CallFailure(boolean sent) {
+    this.sent = sent;
+  }
+
+  /** Returns whether the upstream may have got the request. */
+  public boolean sent() {
+    return sent;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -0,0 +1,110 @@
+package org.gradeledge.connection;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps connections to upstreams and uses them again, newest first.
+ *
+ * <p>Confined to the event loop.
+ *
+ * @since 0.2
+ */
+public final class PooledUpstreamCaller implements UpstreamCaller {
+
+  private static final int CONNECT_MILLIS = 700;
+  private static final int LINE_BYTES = 8 * 1024;
+  private static final int HEADER_BYTES = 64 * 1024;
+  private static final int CHUNK_BYTES = 64 * 1024;
+
+  private final EventLoop loop;
+  private final Bootstrap bootstrap;
+  private final ToIntFunction<UpstreamRecord> connectionLimit;
+  private final Map<String, UpstreamConnections> byUpstream = new HashMap<>();
+
+  /**
+   * Creates a caller without connections.
+   *
+   * @param connectionLimit most connections that this box may have to an upstream
+   */
+  public PooledUpstreamCaller(EventLoop loop, ToIntFunction<UpstreamRecord> connectionLimit) {
+    this.loop = loop;
+    this.connectionLimit = connectionLimit;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .option(ChannelOption.TCP_NODELAY, true);
+  }
+
+  @Override
+  public UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
+    CallInProgress call = new CallInProgress(request, listener);
+    UpstreamConnections connections =
+        byUpstream.computeIfAbsent(target.id(), id -> new UpstreamConnections());
+    UpstreamConnection kept = connections.takeKept(request.reuse());
+    if (kept != null) {
+      loop.execute(() -> kept.start(call));
+    } else if (connections.open() >= connectionLimit.applyAsInt(target)) {
+      loop.execute(() -> call.fail(CallFailure.NO_CONNECTION_FREE));
+    } else {
+      connect(target, connections, call);
+    }
+    return call;
+  }
+
+  /** Closes the kept connections to an upstream that takes no new work. */
+  public void forget(UpstreamRecord target) {
+    UpstreamConnections connections = byUpstream.remove(target.id());
+    if (connections != null) {
+      connections.closeKept();
+    }
+  }
+
+  private void connect(
+      UpstreamRecord target, UpstreamConnections connections, CallInProgress call) {
+    UpstreamConnection connection = new UpstreamConnection(connections);
+    connections.opened();
+    ChannelFuture connecting =
+        bootstrap
+            .clone()
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(newCodec(), connection);
+                  }
+                })
+            .connect(target.host(), target.port());
+    call.onCancel(() -> connecting.channel().close());
+    connecting.channel().closeFuture().addListener(closed -> connections.closed(connection));
+    connecting.addListener(done -> connected(done.cause(), connection, call));
+  }
+
+  private static void connected(
+      @Nullable Throwable cause, UpstreamConnection connection, CallInProgress call) {
+    if (cause == null) {
+      connection.start(call);
+    } else {
+      call.fail(CallFailure.NOT_CONNECTED);
+    }
+  }
+
+  private static HttpClientCodec newCodec() {
+    return new HttpClientCodec(LINE_BYTES, HEADER_BYTES, CHUNK_BYTES);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
@@ -0,0 +1,61 @@
+package org.gradeledge.connection;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** The connections to one upstream. Confined to the event loop. */
+final class UpstreamConnections {
+
+  private final Deque<UpstreamConnection> kept = new ArrayDeque<>();
+  private int open;
+  private boolean closing;
+
+  int open() {
+    return open;
+  }
+
+  void opened() {
+    open++;
+  }
+
+  void closed(UpstreamConnection connection) {
+    open--;
+    kept.remove(connection);
+  }
+
+  /** Returns the kept connection that was used last, if it may carry the request. */
+  @Nullable UpstreamConnection takeKept(ConnectionReuse reuse) {
+    while (!kept.isEmpty()) {
+      UpstreamConnection newest = kept.peekLast();
+      if (!reuse.allows(newest.idleMillis())) {
+        return null;
+      }
+      kept.removeLast();
+      if (newest.usable()) {
+        return newest;
+      }
+      newest.close();
+    }
+    return null;
+  }
+
+  /** Keeps a connection whose call is over, and closes those that have rested too long. */
+  void keep(UpstreamConnection connection) {
+    if (closing) {
+      connection.close();
+      return;
+    }
+    kept.addLast(connection);
+    while (!kept.isEmpty() && !kept.peekFirst().usable()) {
+      kept.removeFirst().close();
+    }
+  }
+
+  void closeKept() {
+    closing = true;
+    List.copyOf(kept).forEach(UpstreamConnection::close);
+    kept.clear();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -0,0 +1,153 @@
+package org.gradeledge.discovery;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.gradeledge.event.EventLog;
+
+/**
+ * All upstreams that are known to the box. An upstream that has once been leaving takes no new work
+ * again under the same id, whatever an older report says; one whose entry only lapsed may come
+ * back.
+ *
+ * <p>Confined to the event loop.
+ *
+ * @since 0.2
+ */
+public final class UpstreamRegistry {
+
+  private static final int KEPT_LEAVING = 4096;
+
+  private final EventLog events;
+  private final List<Consumer<UpstreamRecord>> leavingListeners = new ArrayList<>();
+  private final Map<String, UpstreamRecord> byId = new HashMap<>();
+  private final Map<String, List<UpstreamRecord>> usable = new HashMap<>();
+  private final Set<String> left = new HashSet<>();
+  private long revision = -1;
+
+  /** Creates an empty registry. */
+  public UpstreamRegistry(EventLog events) {
+    this.events = events;
+  }
+
+  /** Tells a listener of each upstream that takes no new work any more. */
+  public void onEnd(Consumer<UpstreamRecord> listener) {
+    leavingListeners.add(listener);
+  }
+
+  /** Returns the revision of the list that the registry stands at, -1 at the start. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns all upstreams that are listed. */
+  public Collection<UpstreamRecord> all() {
+    return byId.values();
+  }
+
+  /** Returns the upstreams of a service that take new work. */
+  public List<UpstreamRecord> usable(String service) {
+    return usable.getOrDefault(service, List.of());
+  }
+
+  /** Returns whether new work may still be sent to an upstream. */
+  public boolean isUsable(String id) {
+    UpstreamRecord known = byId.get(id);
+    return known != null && !known.leaving();
+  }
+
+  /** Returns an upstream by its id. */
+  public Optional<UpstreamRecord> find(String id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  /** Takes a whole list on where it is not older than what is held. */
+  public void replaceAll(long newRevision, Collection<UpstreamRecord> records) {
+    if (newRevision < revision) {
+      return;
+    }
+    revision = newRevision;
+    Set<String> listed = new HashSet<>();
+    records.forEach(upstream -> listed.add(upstream.id()));
+    byId.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::remove);
+    records.forEach(this::put);
+    rebuild();
+  }
+
+  /** Takes changes on that lead to a revision. */
+  public void update(long newRevision, Collection<UpstreamRecord> put, Collection<String> gone) {
+    if (newRevision < revision) {
+      return;
+    }
+    revision = newRevision;
+    put.forEach(this::put);
+    gone.forEach(this::remove);
+    rebuild();
+  }
+
+  /** Notes that an upstream was seen to be gone, for instance since another has its address. */
+  public void markGone(String id) {
+    rememberLeft(id);
+    remove(id);
+    rebuild();
+  }
+
+  private void put(UpstreamRecord upstream) {
+    UpstreamRecord before = byId.get(upstream.id());
+    if (left.contains(upstream.id()) && !upstream.leaving()) {
+      return;
+    }
+    byId.put(upstream.id(), upstream);
+    if (before == null) {
+      log("upstream-listed", upstream);
+    }
+    if (upstream.leaving() && (before == null || !before.leaving())) {
+      rememberLeft(upstream.id());
+      end("upstream-leaving", upstream);
+    }
+  }
+
+  private void remove(String id) {
+    UpstreamRecord before = byId.remove(id);
+    if (before != null && !before.leaving()) {
+      end("upstream-gone", before);
+    }
+  }
+
+  private void end(String what, UpstreamRecord upstream) {
+    log(what, upstream);
+    leavingListeners.forEach(listener -> listener.accept(upstream));
+  }
+
+  private void rememberLeft(String id) {
+    if (left.size() >= KEPT_LEAVING) {
+      left.clear();
+    }
+    left.add(id);
+  }
+
+  private void log(String what, UpstreamRecord upstream) {
+    events
+        .change(what)
+        .with("upstream", upstream.id())
+        .with("service", upstream.service())
+        .with("address", upstream.address())
+        .with("revision", revision)
+        .write();
+  }
+
+  private void rebuild() {
+    usable.clear();
+    byId.values().stream()
+        .filter(upstream -> !upstream.leaving())
+        .forEach(
+            upstream ->
+                usable.computeIfAbsent(upstream.service(), s -> new ArrayList<>()).add(upstream));
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -0,0 +1,137 @@
+package org.gradeledge.follow;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.gradeledge.event.EventLog;
+import reactor.core.publisher.Mono;
+
+/**
+ * Follows a table for good: reads it once, then its changes, and reads it anew where the history
+ * was lost. A call that fails is repeated soon, with jitter so that boxes do not come all at once.
+ *
+ * <p>Confined to the event loop.
+ *
+ * @since 0.2
+ */
+public final class TableFollower {
+
+  private static final long FIRST_BACKOFF_MILLIS = 120;
+  private static final long LONGEST_BACKOFF_MILLIS = 600;
+
+  private final String name;
+  private final RevisionedTable table;
+  private final TableListener listener;
+  private final EventLoop loop;
+  private final EventLog events;
+  private final Duration wait;
+  private final Duration pause;
+  private long revision = -1;
+  private long backoffMillis = FIRST_BACKOFF_MILLIS;
+  private long answeredNanos = System.nanoTime();
+  private boolean lost;
+  private boolean stopped;
+
+  /**
+   * Creates a follower that does nothing yet.
+   *
+   * @param wait how long a call may wait for a change
+   * @param pause shortest time between calls
+   */
+  public TableFollower(
+      String name,
+      RevisionedTable table,
+      TableListener listener,
+      EventLoop loop,
+      EventLog events,
+      Duration wait,
+      Duration pause) {
+    this.name = name;
+    this.table = table;
+    this.listener = listener;
+    this.loop = loop;
+    this.events = events;
+    this.wait = wait;
+    this.pause = pause;
+  }
+
+  /** Starts to follow. */
+  public void start() {
+    next();
+  }
+
+  /** Stops following after the call that is under way. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Returns for how long the table has not answered. */
+  public long silentMillis() {
+    return (System.nanoTime() - answeredNanos) / 1_000_000;
+  }
+
+  /** Returns whether the last call failed. */
+  public boolean isLost() {
+    return lost;
+  }
+
+  private void next() {
+    if (stopped) {
+      return;
+    }
+    if (revision < 0) {
+      subscribe(table.read(), this::take);
+    } else {
+      subscribe(table.changes(revision, wait), this::take);
+    }
+  }
+
+  private <T> void subscribe(Mono<T> call, Consumer<T> taker) {
+    call.subscribe(
+        answer -> loop.execute(() -> answered(answer, taker)),
+        failure -> loop.execute(() -> failed(failure)));
+  }
+
+  private <T> void answered(T answer, Consumer<T> taker) {
+    answeredNanos = System.nanoTime();
+    backoffMillis = FIRST_BACKOFF_MILLIS;
+    if (lost) {
+      lost = false;
+      events.change("dependency-regained").with("dependency", name).write();
+    }
+    taker.accept(answer);
+    loop.schedule(this::next, pause.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void take(TableContent content) {
+    revision = content.revision();
+    listener.onContent(content);
+  }
+
+  private void take(TableChanges changes) {
+    revision = Math.max(revision, changes.revision());
+    if (!changes.put().isEmpty() || !changes.removed().isEmpty()) {
+      listener.onChanges(changes);
+    }
+  }
+
+  private void failed(Throwable failure) {
+    if (failure instanceof HistoryLostException) {
+      revision = -1;
+    }
+    if (!lost) {
+      lost = true;
+      events
+          .change("dependency-lost")
+          .with("dependency", name)
+          .with("why", String.valueOf(failure))
+          .with("revision", revision)
+          .write();
+    }
+    long jitter = ThreadLocalRandom.current().nextLong(backoffMillis);
+    loop.schedule(this::next, backoffMillis / 2 + jitter, TimeUnit.MILLISECONDS);
+    backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -0,0 +1,21 @@
+package org.gradeledge.mesh;
+
+import java.util.List;
+import java.util.Map;
+import org.gradeledge.selection.LoadShare;
+
+/**
+ * What a box tells all others again and again.
+ *
+ * @param leaving whether it is stopping
+ * @param configuration revision of the configuration that it has in force
+ * @param upstreams revision of the list of upstreams that it stands at
+ * @param boxes addresses of the boxes that it hears
+ * @param shares what it has under way, by upstream
+ */
+record Heartbeat(
+    boolean leaving,
+    long configuration,
+    long upstreams,
+    List<String> boxes,
+    Map<String, LoadShare> shares) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -0,0 +1,125 @@
+package org.gradeledge.mesh;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.gradeledge.batch.BatchCoordinator;
+import org.gradeledge.batch.StageGroup;
+import org.gradeledge.batch.StageGroupResult;
+import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.selection.RendezvousHash;
+
+/**
+ * Hands the stage work of a service to the box that ranks first for it by rendezvous hashing among
+ * those that are heard, so that the pieces of all boxes meet. If that box is lost or does not take
+ * the work, this box does it itself. Confined to the event loop.
+ */
+final class MeshStageWorkClient implements StageWorkClient {
+
+  private final String self;
+  private final PeerNetwork network;
+  private final PeerBoard peers;
+  private final BatchCoordinator local;
+  private final EventLoop loop;
+  private final Map<Placement, String> placed = new HashMap<>();
+  private final Map<String, String> makers = new HashMap<>();
+
+  /** A group that another box works on. */
+  private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
+
+  MeshStageWorkClient(
+      String self, PeerNetwork network, PeerBoard peers, BatchCoordinator local, EventLoop loop) {
+    this.self = self;
+    this.network = network;
+    this.peers = peers;
+    this.local = local;
+    this.loop = loop;
+  }
+
+  @Override
+  public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+    String box = coordinator(group.service());
+    if (box.equals(self)) {
+      local.submit(group, listener);
+      return;
+    }
+    Placement placement = new Placement(group, listener);
+    placed.put(placement, box);
+    network
+        .ask(
+            box,
+            MeshMessages.STAGE_WORK,
+            group,
+            StageGroupResult.class,
+            Duration.ofMillis(Math.max(1, group.remainingMillis())))
+        .subscribe(
+            result -> loop.execute(() -> answered(placement, result)),
+            failure -> loop.execute(() -> takeOver(placement)));
+  }
+
+  private String coordinator(String service) {
+    return peers.working().stream()
+        .max(Comparator.comparingLong(box -> RendezvousHash.weight(service, box)))
+        .orElse(self);
+  }
+
+  private void answered(Placement placement, StageGroupResult result) {
+    if (placed.remove(placement) == null) {
+      local.free(result.handles());
+      return;
+    }
+    result.handles().forEach(handle -> makers.put(handle, result.box()));
+    placement.listener().accept(result);
+  }
+
+  private void takeOver(Placement placement) {
+    if (placed.remove(placement) != null) {
+      local.submit(placement.group(), placement.listener());
+    }
+  }
+
+  /** Does the work itself that a box had which is not heard any more. */
+  void lost(String box) {
+    Set.copyOf(placed.entrySet()).stream()
+        .filter(entry -> entry.getValue().equals(box))
+        .forEach(entry -> takeOver(entry.getKey()));
+  }
+
+  @Override
+  public void cancel(String service, String requestId) {
+    local.cancel(service, requestId);
+    Set.copyOf(placed.entrySet()).stream()
+        .filter(entry -> entry.getKey().group().requestId().equals(requestId))
+        .filter(entry -> entry.getKey().group().service().equals(service))
+        .forEach(
+            entry -> {
+              placed.remove(entry.getKey());
+              network.tell(
+                  entry.getValue(), MeshMessages.STAGE_CANCEL, new StageCancel(service, requestId));
+            });
+  }
+
+  @Override
+  public void free(String service, List<String> handles) {
+    Map<String, List<String>> byBox =
+        handles.stream()
+            .collect(Collectors.groupingBy(handle -> makers.getOrDefault(handle, self)));
+    handles.forEach(makers::remove);
+    byBox.forEach(this::freeAt);
+  }
+
+  private void freeAt(String box, List<String> handles) {
+    if (box.equals(self) || !peers.isAlive(box)) {
+      local.free(handles);
+    } else {
+      network.tell(box, MeshMessages.STAGE_FREE, new StageFree(handles));
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
@@ -0,0 +1,94 @@
+package org.gradeledge.mesh;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.time.MonotonicClock;
+
+/** Which boxes are heard, and which of them do work for others. Confined to the event loop. */
+final class PeerBoard {
+
+  private static final long FORGET_MILLIS = 60_000;
+
+  private record Seen(long nanos, boolean leaving, boolean alive) {}
+
+  private final String self;
+  private final MonotonicClock clock;
+  private final EventLog events;
+  private final Map<String, Seen> seen = new HashMap<>();
+  private final List<Consumer<String>> lostListeners = new ArrayList<>();
+  private boolean leaving;
+
+  PeerBoard(String self, MonotonicClock clock, EventLog events) {
+    this.self = self;
+    this.clock = clock;
+    this.events = events;
+  }
+
+  void onLost(Consumer<String> listener) {
+    lostListeners.add(listener);
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  void heard(String box, boolean boxLeaving) {
+    Seen before = seen.put(box, new Seen(clock.nanos(), boxLeaving, true));
+    if (before == null || !before.alive()) {
+      events.change("peer-heard").with("peer", box).write();
+    }
+  }
+
+  /** Marks boxes that have been silent for too long; returns those that were lost just now. */
+  void expire(long silentMillis) {
+    long now = clock.nanos();
+    Set.copyOf(seen.keySet()).forEach(box -> expire(box, silentMillis, now));
+  }
+
+  private void expire(String box, long silentMillis, long now) {
+    Seen last = seen.get(box);
+    long silent = (now - last.nanos()) / 1_000_000;
+    if (last.alive() && silent > silentMillis) {
+      seen.put(box, new Seen(last.nanos(), last.leaving(), false));
+      events.change("peer-lost").with("peer", box).with("silent-ms", silent).write();
+      lostListeners.forEach(listener -> listener.accept(box));
+    } else if (silent > FORGET_MILLIS) {
+      seen.remove(box);
+    }
+  }
+
+  boolean isAlive(String box) {
+    Seen last = seen.get(box);
+    return last != null && last.alive();
+  }
+
+  /** Returns the boxes that are heard, this one included. */
+  Set<String> alive() {
+    Set<String> boxes = new TreeSet<>();
+    boxes.add(self);
+    seen.forEach((box, last) -> addIf(last.alive(), boxes, box));
+    return boxes;
+  }
+
+  /** Returns the boxes that do work for others; this one counts where there is no other. */
+  Set<String> working() {
+    Set<String> boxes = new TreeSet<>();
+    seen.forEach((box, last) -> addIf(last.alive() && !last.leaving(), boxes, box));
+    if (!leaving || boxes.isEmpty()) {
+      boxes.add(self);
+    }
+    return boxes;
+  }
+
+  private static void addIf(boolean condition, Set<String> boxes, String box) {
+    if (condition) {
+      boxes.add(box);
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
@@ -0,0 +1,25 @@
+package org.gradeledge.node;
+
+import org.gradeledge.batch.StageProtocol;
+import org.gradeledge.deployment.DeploymentReader;
+import org.gradeledge.follow.RevisionedTable;
+import org.gradeledge.relay.RelayProtocol;
+
+/**
+ * What translates between the box and the platform that it runs on.
+ *
+ * @param relay how requests look on the wire
+ * @param stages how calls for stage work look on the wire
+ * @param configurations reads configuration documents
+ * @param upstreamReader reads rows of the list of upstreams
+ * @param configurationTable holds the newest configuration document
+ * @param upstreamTable holds the list of upstreams
+ * @since 0.2
+ */
+public record RelayAdapters(
+    RelayProtocol relay,
+    StageProtocol stages,
+    DeploymentReader configurations,
+    UpstreamRowReader upstreamReader,
+    RevisionedTable configurationTable,
+    RevisionedTable upstreamTable) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -0,0 +1,244 @@
+package org.gradeledge.node;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.batch.BatchCoordinator;
+import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.connection.PooledUpstreamCaller;
+import org.gradeledge.deployment.Deployment;
+import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.deployment.ServiceDefinition;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.follow.TableFollower;
+import org.gradeledge.mesh.BoxMesh;
+import org.gradeledge.metrics.BoxMetrics;
+import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.peer.PeerSecret;
+import org.gradeledge.peer.PeerTransport;
+import org.gradeledge.relay.RelayHandler;
+import org.gradeledge.relay.RelayMetrics;
+import org.gradeledge.relay.RelayServer;
+import org.gradeledge.relay.RelayServices;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.LeastLoadedChooser;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.selection.PrefixAffinityChooser;
+import org.gradeledge.time.MonotonicClock;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A box that relays requests to upstreams: everything of it runs on one event loop.
+ *
+ * @since 0.2
+ */
+public final class RelayBox {
+
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
+  private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(60);
+  private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(400);
+  private static final int FEWEST_BOXES = 6;
+  private static final double CONNECTION_SHARE = 0.9;
+  private static final int FEWEST_CONNECTIONS = 3;
+  private static final int HTTP_OK = 200;
+  private static final int HTTP_UNAVAILABLE = 503;
+
+  private final RelaySettings settings;
+  private final LoopResources loops;
+  private final EventLoop loop;
+  private final EventLog events;
+  private final DeploymentRegistry deployments;
+  private final UpstreamRegistry upstreams;
+  private final BoxMesh mesh;
+  private final RelayMetrics metrics = new RelayMetrics();
+  private final BoxMetrics boxMetrics = new BoxMetrics();
+  private final RelayHandler handler;
+  private final RelayServer server;
+  private final TableFollower configurationFollower;
+  private final TableFollower upstreamFollower;
+  private final PlannedStop stop;
+
+  /** Puts the box together; it does not listen yet. */
+  public RelayBox(
+      RelaySettings settings, RelayAdapters adapters, LoopResources loops, EventLog events) {
+    this.settings = settings;
+    this.loops = loops;
+    this.events = events;
+    this.loop = loops.onClient(false).next();
+    MonotonicClock clock = MonotonicClock.system();
+    this.deployments = new DeploymentRegistry(adapters.configurations(), events);
+    this.upstreams = new UpstreamRegistry(events);
+    LoadBoard board = new LoadBoard(clock, events);
+    this.configurationFollower = followConfiguration(adapters);
+    this.upstreamFollower = followUpstreams(adapters);
+    this.mesh = newMesh(board, clock);
+    RetryBudget budget =
+        new RetryBudget(
+            clock,
+            settings.retryRatio(),
+            settings.retryAllowance(),
+            settings.retryWindow(),
+            this::boxes);
+    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit);
+    upstreams.onEnd(caller::forget);
+    upstreams.onEnd(board::forget);
+    BatchCoordinator coordinator =
+        BatchCoordinator.builder()
+            .box(peerName(settings), loop, clock)
+            .upstreams(upstreams, service -> service(service).flatMap(ServiceDefinition::batch))
+            .calls(caller, adapters.stages())
+            .beliefs(board, budget, events)
+            .build();
+    StageWorkClient stageWork = mesh.stageWork(coordinator);
+    RelayServices services =
+        new RelayServices(
+            settings.zone(),
+            loop,
+            clock,
+            deployments,
+            upstreams,
+            board,
+            new PrefixAffinityChooser(
+                board, new LeastLoadedChooser(board, new Random()), this::memoryTokens),
+            budget,
+            caller,
+            adapters.relay(),
+            stageWork,
+            metrics,
+            events);
+    this.handler = new RelayHandler(services);
+    this.server = new RelayServer(handler, services, loops);
+    this.stop = new PlannedStop(settings.grace(), server, handler, mesh, loop, events);
+  }
+
+  private TableFollower followConfiguration(RelayAdapters adapters) {
+    return new TableFollower(
+        "configuration",
+        adapters.configurationTable(),
+        new ConfigurationTableListener(deployments),
+        loop,
+        events,
+        CONFIGURATION_WAIT,
+        CONFIGURATION_PAUSE);
+  }
+
+  private TableFollower followUpstreams(RelayAdapters adapters) {
+    return new TableFollower(
+        "upstreams",
+        adapters.upstreamTable(),
+        new UpstreamTableListener(upstreams, adapters.upstreamReader(), events),
+        loop,
+        events,
+        Duration.ZERO,
+        UPSTREAM_PAUSE);
+  }
+
+  private BoxMesh newMesh(LoadBoard board, MonotonicClock clock) {
+    PeerTransport transport =
+        new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops));
+    PeerNetwork network =
+        new PeerNetwork(
+            peerName(settings), new PeerSecret(settings.peerSecret()), transport, boxMetrics);
+    return new BoxMesh(
+        peerName(settings),
+        settings.seeds(),
+        network,
+        loop,
+        deployments,
+        upstreams,
+        board,
+        upstreamFollower::isLost,
+        clock,
+        events);
+  }
+
+  /** Starts to listen and to follow the platform. */
+  public Mono<Void> start() {
+    events
+        .change("start")
+        .with("zone", settings.zone())
+        .with("caller", settings.caller().toString())
+        .write();
+    return server
+        .listen(settings.caller())
+        .then(listenReady())
+        .then(mesh.start(settings.peer()))
+        .then(listenMetrics())
+        .then(Mono.fromRunnable(() -> loop.execute(this::follow)));
+  }
+
+  private void follow() {
+    configurationFollower.start();
+    upstreamFollower.start();
+  }
+
+  /** Stops as planned; returns once everything is done. Must not be called on the event loop. */
+  public void stop() throws InterruptedException {
+    CountDownLatch stopped = new CountDownLatch(1);
+    loop.execute(() -> stop.start(stopped::countDown));
+    stopped.await(settings.grace().toMillis(), TimeUnit.MILLISECONDS);
+    events.change("stopped").with("active", server.active()).write();
+    events.drain(200);
+  }
+
+  private boolean ready() {
+    return deployments.current().isPresent() && upstreams.revision() >= 0 && !stop.hasBegun();
+  }
+
+  private Mono<?> listenReady() {
+    return HttpServer.create()
+        .runOn(loops, false)
+        .bindAddress(settings::ready)
+        .handle(
+            (request, response) ->
+                response
+                    .status(ready() ? HTTP_OK : HTTP_UNAVAILABLE)
+                    .header("Content-Length", "0")
+                    .send())
+        .bind();
+  }
+
+  private Mono<?> listenMetrics() {
+    Optional<InetSocketAddress> address = settings.metrics();
+    return address.isEmpty()
+        ? Mono.empty()
+        : HttpServer.create()
+            .runOn(loops, false)
+            .bindAddress(address::get)
+            .handle(
+                (request, response) ->
+                    response.sendByteArray(
+                        Mono.fromSupplier(metrics::exposition)
+                            .concatWith(Mono.fromSupplier(boxMetrics::exposition))))
+            .bind();
+  }
+
+  private int boxes() {
+    return Math.max(FEWEST_BOXES, mesh.boxes());
+  }
+
+  private Optional<ServiceDefinition> service(String name) {
+    return deployments.current().flatMap((Deployment held) -> held.service(name));
+  }
+
+  private int connectionLimit(UpstreamRecord upstream) {
+    int most = service(upstream.service()).map(ServiceDefinition::maxConnections).orElse(boxes());
+    return Math.max(FEWEST_CONNECTIONS, (int) (most * CONNECTION_SHARE / boxes()));
+  }
+
+  private long memoryTokens(UpstreamRecord upstream) {
+    return service(upstream.service()).flatMap(ServiceDefinition::promptTokens).orElse(0L);
+  }
+
+  private static String peerName(RelaySettings settings) {
+    return settings.peer().getAddress().getHostAddress() + ":" + settings.peer().getPort();
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
@@ -112,6 +112,14 @@
             e -> new PeerException(peerId + " did not answer " + type.name(), e));
   }
 
+  /** Closes the connection to a peer that is not heard on it any more; it is dialed again. */
+  public void disconnect(String peerId) {
+    PeerConnection connection = open.get(peerId);
+    if (connection != null) {
+      connection.close();
+    }
+  }
+
   /** Closes all connections and ends all tasks. */
   public synchronized void close() {
     tasks.keySet().stream().toList().forEach(this::stopTask);
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
@@ -9,6 +9,7 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
+import reactor.netty.resources.LoopResources;
 import reactor.netty.tcp.TcpClient;
 import reactor.netty.tcp.TcpServer;
 
@@ -25,11 +26,21 @@
 
   private final Optional<SslContext> serverTls;
   private final Optional<SslContext> clientTls;
+  private final Optional<LoopResources> loops;
 
   /** Creates the transport; plain TCP where the contexts are absent. */
   public PeerTransport(Optional<SslContext> serverTls, Optional<SslContext> clientTls) {
+    this(serverTls, clientTls, Optional.empty());
+  }
+
+  /** Creates the transport on the event loops given; on shared ones where they are absent. */
+  public PeerTransport(
+      Optional<SslContext> serverTls,
+      Optional<SslContext> clientTls,
+      Optional<LoopResources> loops) {
     this.serverTls = serverTls;
     this.clientTls = clientTls;
+    this.loops = loops;
   }
 
   Mono<? extends DisposableServer> listen(InetSocketAddress address, PeerContext context) {
@@ -43,7 +54,8 @@
                   in.withConnection(connection -> held[0] = connection);
                   return new PeerConnection(context, false, held[0]).run(in, out);
                 });
-    return serverTls.map(tls -> server.secure(spec -> spec.sslContext(tls))).orElse(server).bind();
+    TcpServer placed = loops.map(each -> server.runOn(each, false)).orElse(server);
+    return serverTls.map(tls -> placed.secure(spec -> spec.sslContext(tls))).orElse(placed).bind();
   }
 
   /** Dials, and completes once the connection is closed again. */
@@ -53,9 +65,10 @@
             .remoteAddress(() -> address)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .doOnConnected(PeerTransport::addFraming);
+    TcpClient placed = loops.map(each -> client.runOn(each, false)).orElse(client);
     return clientTls
-        .map(tls -> client.secure(spec -> spec.sslContext(tls)))
-        .orElse(client)
+        .map(tls -> placed.secure(spec -> spec.sslContext(tls)))
+        .orElse(placed)
         .connect()
         .flatMap(
             connection ->
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -0,0 +1,132 @@
+package org.gradeledge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.event.EventLog;
+
+/** The answer of one request, and the lines and counts that tell how it came about. */
+final class ExchangeOutcome {
+
+  private static final long RETRY_AFTER_MILLIS = 300;
+
+  private final RelayServices services;
+  private final RelayRequest request;
+  private final RouteDefinition route;
+  private final long revision;
+  private final RequestClock clock;
+  private final CallerResponse response;
+  private final StringBuilder path = new StringBuilder();
+  private long stagesMillis = -1;
+  private long firstEventMillis = -1;
+  private boolean over;
+
+  ExchangeOutcome(
+      RelayServices services,
+      RelayRequest request,
+      RouteDefinition route,
+      long revision,
+      RequestClock clock,
+      CallerResponse response) {
+    this.services = services;
+    this.request = request;
+    this.route = route;
+    this.revision = revision;
+    this.clock = clock;
+    this.response = response;
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  void stagesDone() {
+    stagesMillis = clock.elapsedMillis();
+  }
+
+  void sent(UpstreamRecord upstream, int number) {
+    path.append(number > 1 ? " > " : "").append(upstream.id()).append('@');
+    path.append(clock.elapsedMillis());
+  }
+
+  void notRun(UpstreamRecord upstream, int status) {
+    path.append(" not-run:").append(status);
+    problem("attempt-not-run", upstream, "status " + status);
+  }
+
+  void failed(UpstreamRecord upstream, CallFailure failure) {
+    path.append(' ').append(failure);
+    problem("attempt-failed", upstream, failure.name());
+  }
+
+  void answered(int status, HttpHeaders headers, ByteBuf body) {
+    end("answered-" + status / 100 + "xx", status);
+    response.answer(status, headers, body);
+  }
+
+  void beginStream(int status, HttpHeaders headers) {
+    firstEventMillis = clock.elapsedMillis();
+    response.beginStream(status, headers);
+  }
+
+  void part(ByteBuf events) {
+    response.part(events);
+  }
+
+  void endStream() {
+    end("stream-whole", 200);
+    response.endStream();
+  }
+
+  void callerGone() {
+    end("caller-gone", 0);
+  }
+
+  void refuse(Refusal refusal, String why, boolean streaming) {
+    if (over) {
+      return;
+    }
+    path.append(" (").append(why).append(')');
+    end(refusal.name().toLowerCase(Locale.ROOT), refusal.status());
+    if (streaming) {
+      response.abort();
+    } else {
+      response.refuse(refusal, RETRY_AFTER_MILLIS);
+    }
+  }
+
+  private void end(String name, int status) {
+    over = true;
+    services.metrics().ended(route.repeatability(), name, clock.elapsedMillis());
+    boolean well = status >= 200 && status < 300;
+    EventLog.Event event =
+        well ? services.events().step("request-ended") : services.events().problem("request-ended");
+    event
+        .with("request", request.id())
+        .with("route", route.name())
+        .with("revision", revision)
+        .with("outcome", name)
+        .with("status", status)
+        .with("ms", clock.elapsedMillis())
+        .with("left-ms", clock.leftMillis())
+        .with("stages-ms", stagesMillis)
+        .with("first-event-ms", firstEventMillis)
+        .with("upstreams", path.toString())
+        .write();
+  }
+
+  private void problem(String name, UpstreamRecord upstream, String why) {
+    services
+        .events()
+        .problem(name)
+        .with("request", request.id())
+        .with("upstream", upstream.id())
+        .with("service", upstream.service())
+        .with("why", why)
+        .with("left-ms", clock.leftMillis())
+        .write();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
@@ -0,0 +1,82 @@
+package org.gradeledge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** Hands the answer of an exchange to Reactor Netty. Confined to the event loop. */
+final class ReactorCallerResponse implements CallerResponse {
+
+  private static final List<CharSequence> OF_ONE_CONNECTION =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          "keep-alive",
+          HttpHeaderNames.TRANSFER_ENCODING,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.TE,
+          HttpHeaderNames.UPGRADE,
+          HttpHeaderNames.CONTENT_LENGTH);
+  private static final double MILLIS_IN_SECOND = 1000.0;
+
+  private final Sinks.One<RelayAnswer> answer = Sinks.one();
+  private final Sinks.Many<ByteBuf> parts = Sinks.many().unicast().onBackpressureBuffer();
+
+  /** Returns the answer, once it has begun. */
+  Mono<RelayAnswer> answer() {
+    return answer.asMono();
+  }
+
+  @Override
+  public void refuse(Refusal refusal, long retryAfterMillis) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    if (refusal.notRun()) {
+      double seconds = retryAfterMillis / MILLIS_IN_SECOND;
+      headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+    }
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    answer.tryEmitValue(new RelayAnswer(refusal.status(), headers, Flux.empty(), false));
+  }
+
+  @Override
+  public void answer(int status, HttpHeaders headers, ByteBuf body) {
+    HttpHeaders passedOn = endToEnd(headers);
+    passedOn.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    Flux<ByteBuf> content = body.isReadable() ? Flux.just(body) : Flux.empty();
+    answer.tryEmitValue(new RelayAnswer(status, passedOn, content, false));
+  }
+
+  @Override
+  public void beginStream(int status, HttpHeaders headers) {
+    answer.tryEmitValue(new RelayAnswer(status, endToEnd(headers), parts.asFlux(), true));
+  }
+
+  @Override
+  public void part(ByteBuf events) {
+    if (parts.tryEmitNext(events).isFailure()) {
+      events.release();
+    }
+  }
+
+  @Override
+  public void endStream() {
+    parts.tryEmitComplete();
+  }
+
+  @Override
+  public void abort() {
+    parts.tryEmitError(new IOException("the upstream broke the stream off"));
+  }
+
+  private static HttpHeaders endToEnd(HttpHeaders headers) {
+    HttpHeaders passedOn = new DefaultHttpHeaders().set(headers);
+    OF_ONE_CONNECTION.forEach(passedOn::remove);
+    return passedOn;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
@@ -0,0 +1,54 @@
+package org.gradeledge.relay;
+
+/**
+ * Why the box itself ends a request, and what it tells the caller.
+ *
+ * <p>A status of 503 or 429 promises that the request has not run and never will; 502 and 504
+ * promise nothing.
+ *
+ * @since 0.2
+ */
+public enum Refusal {
+  /** The box knows no configuration yet. */
+  NO_CONFIGURATION(503, true),
+  /** No route takes the request. */
+  NO_ROUTE(404, false),
+  /** The route needs a key, and the request has none that is known. */
+  UNKNOWN_KEY(401, false),
+  /** The request cannot be understood. */
+  BAD_REQUEST(400, false),
+  /** The body is over the bound. */
+  BODY_TOO_LARGE(413, false),
+  /** The box is stopping. */
+  STOPPING(503, true),
+  /** No upstream of the service takes new work. */
+  NO_UPSTREAM(503, true),
+  /** All upstreams that were asked said that they did not run it. */
+  UPSTREAMS_FULL(503, true),
+  /** The stages before cannot be done in the time left, or failed. */
+  STAGES_FAILED(503, true),
+  /** The time is up, and the request has not run. */
+  LATE_NOT_RUN(503, true),
+  /** The time is up while an upstream was at work. */
+  LATE(504, false),
+  /** An upstream broke off; it may have run the request. */
+  BROKEN(502, false);
+
+  private final int status;
+  private final boolean notRun;
+
+  Refusal(int status, boolean notRun) {
+    this.status = status;
+    this.notRun = notRun;
+  }
+
+  /** Returns the status of the answer. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns whether the answer promises that the request has not run; asking again may help. */
+  public boolean notRun() {
+    return notRun;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -0,0 +1,269 @@
+package org.gradeledge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.batch.StageOutcome;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.ConnectionReuse;
+import org.gradeledge.connection.OutgoingRequest;
+import org.gradeledge.deployment.ClientAccount;
+import org.gradeledge.deployment.Deployment;
+import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request from its admission to its final answer: its stage work, its attempts at upstreams,
+ * and the rules on what may be sent again. Confined to the event loop.
+ */
+final class RelayExchange implements AttemptListener {
+
+  private static final int MOST_SENDS = 4;
+  private static final int FIRST_FAILURE = 500;
+  private static final int INPUTS_GONE = 409;
+  private static final long FULL_PAUSE_MILLIS = 200;
+
+  private final RelayServices services;
+  private final RelayRequest request;
+  private final RouteDefinition route;
+  private final Optional<ClientAccount> account;
+  private final ExchangeOutcome outcome;
+  private final RequestClock clock;
+  private final StagePlan plan;
+  private final UpstreamCandidates candidates;
+  private final String service;
+  private @Nullable Attempt attempt;
+  private @Nullable ScheduledFuture<?> timer;
+  private @Nullable AttemptWatch watch;
+  private List<String> inputs = List.of();
+  private Optional<String> passedOn;
+  private boolean streaming;
+  private boolean maybeRan;
+  private boolean inputsRemade;
+  private int sends;
+  private int runs;
+
+  RelayExchange(
+      RelayServices services,
+      RelayRequest request,
+      Deployment deployment,
+      RouteDefinition route,
+      Optional<ClientAccount> account,
+      CallerResponse response) {
+    this.services = services;
+    this.request = request;
+    this.route = route;
+    this.account = account;
+    this.service = route.serviceFor(request.id().hashCode());
+    long limit = Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+    this.clock = new RequestClock(services.clock(), limit, route.targetMillis());
+    this.outcome =
+        new ExchangeOutcome(services, request, route, deployment.revision(), clock, response);
+    this.candidates = new UpstreamCandidates(services, service, request);
+    this.plan = new StagePlan(request, deployment, route, services.stages(), clock, priority());
+    this.passedOn = request.resumeAfter();
+  }
+
+  void start() {
+    timer = services.loop().schedule(this::timeUp, clock.leftMillis(), TimeUnit.MILLISECONDS);
+    services.budget().requested(service);
+    route.stages().forEach(stage -> services.budget().requested(stage.service()));
+    if (plan.isEmpty()) {
+      dispatch();
+    } else {
+      plan.start(this::stagesDone, this::stagesFailed);
+    }
+  }
+
+  /** The caller has gone: whatever is under way for it is given up. */
+  void callerGone() {
+    if (outcome.isOver()) {
+      return;
+    }
+    outcome.callerGone();
+    release();
+  }
+
+  private void stagesDone(List<String> results) {
+    services.metrics().stagesDone(route.repeatability(), clock.elapsedMillis());
+    outcome.stagesDone();
+    inputs = results;
+    dispatch();
+  }
+
+  private void stagesFailed(int stage, StageOutcome stageOutcome) {
+    finish(Refusal.STAGES_FAILED, "stage " + stage + " " + stageOutcome);
+  }
+
+  private void dispatch() {
+    candidates.next().ifPresentOrElse(this::send, () -> giveUp(candidates.whyNone(), "all tried"));
+  }
+
+  private void send(UpstreamRecord upstream) {
+    sends++;
+    boolean stream = route.repeatability().streaming();
+    Attempt next =
+        stream
+            ? new StreamAttempt(services, upstream, request.tokens(), this)
+            : new WholeAnswerAttempt(services, upstream, this);
+    attempt = next;
+    AttemptFacts facts =
+        new AttemptFacts(
+            clock.leftMillis(), account.map(ClientAccount::name), priority(), inputs, passedOn);
+    ConnectionReuse reuse =
+        route.repeatability().repeatable() ? ConnectionReuse.ANY : ConnectionReuse.RECENT;
+    OutgoingRequest outgoing = services.protocol().encode(request, upstream, facts, reuse);
+    outcome.sent(upstream, sends);
+    next.started(services.caller().call(upstream, outgoing, next));
+    watch(next);
+  }
+
+  private int priority() {
+    return account.flatMap(ClientAccount::priority).orElse(route.priority());
+  }
+
+  private void watch(Attempt watched) {
+    if (route.repeatability().repeatable()) {
+      watch = new AttemptWatch(services, route, clock, watched, () -> giveUpSilent(watched));
+    }
+  }
+
+  private void giveUpSilent(Attempt watched) {
+    if (watched == attempt && mayRunAgain()) {
+      watched.cancel();
+      failed(watched, CallFailure.BROKEN);
+    }
+  }
+
+  private boolean mayRunAgain() {
+    return route.repeatability().repeatable() && runs + 1 < route.maxAttempts();
+  }
+
+  @Override
+  public void notRun(Attempt ended, int status, HttpHeaders headers, AnswerFacts facts) {
+    stopWatch();
+    outcome.notRun(ended.upstream(), status);
+    if (facts.otherUpstream()) {
+      services.upstreams().markGone(ended.upstream().id());
+    } else if (status == INPUTS_GONE && !plan.isEmpty() && !inputsRemade) {
+      remakeInputs();
+      return;
+    } else if (status == INPUTS_GONE || status < INPUTS_GONE) {
+      finish(Refusal.STAGES_FAILED, "upstream refused with " + status);
+      return;
+    } else {
+      services.board().pause(ended.upstream(), FULL_PAUSE_MILLIS);
+    }
+    again("not run, status " + status, Refusal.UPSTREAMS_FULL, true);
+  }
+
+  private void remakeInputs() {
+    inputsRemade = true;
+    candidates.reset();
+    if (services.budget().trySpend(service)) {
+      plan.restart();
+    } else {
+      finish(Refusal.STAGES_FAILED, "inputs gone, retry budget spent");
+    }
+  }
+
+  @Override
+  public void failed(Attempt ended, CallFailure failure) {
+    stopWatch();
+    outcome.failed(ended.upstream(), failure);
+    services.board().failed(ended.upstream(), failure == CallFailure.NOT_CONNECTED, failure.name());
+    if (!failure.sent()) {
+      again(failure.name(), Refusal.UPSTREAMS_FULL, false);
+      return;
+    }
+    maybeRan = true;
+    boolean mayRun = mayRunAgain();
+    runs++;
+    if (mayRun) {
+      again(failure.name(), Refusal.BROKEN, true);
+    } else {
+      giveUp(Refusal.BROKEN, failure.name());
+    }
+  }
+
+  private void again(String why, Refusal otherwise, boolean counted) {
+    if (sends >= MOST_SENDS) {
+      giveUp(otherwise, why);
+    } else if (counted && !services.budget().trySpend(service)) {
+      giveUp(otherwise, why + ", retry budget spent");
+    } else {
+      dispatch();
+    }
+  }
+
+  @Override
+  public void answered(Attempt ended, int status, HttpHeaders headers, ByteBuf body) {
+    stopWatch();
+    boolean failure = status >= FIRST_FAILURE;
+    if (failure && mayRunAgain() && sends < MOST_SENDS && services.budget().trySpend(service)) {
+      body.release();
+      maybeRan = true;
+      runs++;
+      outcome.failed(ended.upstream(), CallFailure.BROKEN);
+      dispatch();
+      return;
+    }
+    if (streaming) {
+      body.release();
+      giveUp(Refusal.BROKEN, "status " + status + " in place of the rest of a stream");
+      return;
+    }
+    release();
+    outcome.answered(status, headers, body);
+  }
+
+  @Override
+  public void events(StreamAttempt source, ByteBuf events) {
+    if (!streaming) {
+      streaming = true;
+      plan.freeAll();
+      outcome.beginStream(source.status(), source.headers());
+    }
+    passedOn = source.lastEventId().or(() -> passedOn);
+    outcome.part(events);
+  }
+
+  @Override
+  public void streamEnded(StreamAttempt source) {
+    release();
+    outcome.endStream();
+  }
+
+  private void timeUp() {
+    if (!outcome.isOver()) {
+      boolean idle = attempt == null && !maybeRan;
+      finish(idle ? Refusal.LATE_NOT_RUN : Refusal.LATE, "time is up");
+    }
+  }
+
+  /** Ends the request; where an attempt may have run, that is what the caller is told. */
+  private void giveUp(Refusal refusal, String why) {
+    finish(maybeRan && refusal.notRun() ? Refusal.BROKEN : refusal, why);
+  }
+
+  private void finish(Refusal refusal, String why) {
+    release();
+    outcome.refuse(refusal, why, streaming);
+  }
+
+  private void release() {
+    stopWatch();
+    Optional.ofNullable(timer).ifPresent(running -> running.cancel(false));
+    Optional.ofNullable(attempt).ifPresent(Attempt::cancel);
+    plan.cancel();
+  }
+
+  private void stopWatch() {
+    Optional.ofNullable(watch).ifPresent(AttemptWatch::stop);
+    watch = null;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -0,0 +1,82 @@
+package org.gradeledge.relay;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Locale;
+import org.gradeledge.deployment.Repeatability;
+
+/**
+ * What a box counts of the requests that it relays. Times are in seconds. Thread-safe.
+ *
+ * @since 0.2
+ */
+public final class RelayMetrics {
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+
+  private final Counter requests =
+      Counter.builder()
+          .name("gradeledge_relay_requests_total")
+          .help("Relayed requests that ended, by kind and outcome")
+          .labelNames("kind", "outcome")
+          .register(registry);
+
+  private final Histogram seconds =
+      Histogram.builder()
+          .name("gradeledge_relay_request_seconds")
+          .help("Time from receipt to the end of the answer")
+          .labelNames("kind")
+          .classicOnly()
+          .register(registry);
+
+  private final Histogram stageSeconds =
+      Histogram.builder()
+          .name("gradeledge_relay_stages_seconds")
+          .help("Time until the stage work of a request was done")
+          .labelNames("kind")
+          .classicOnly()
+          .register(registry);
+
+  private final Counter attempts =
+      Counter.builder()
+          .name("gradeledge_relay_attempts_total")
+          .help("Requests sent to upstreams, by what came of them")
+          .labelNames("result")
+          .register(registry);
+
+  /** Counts a request that ended. */
+  public void ended(Repeatability kind, String outcome, long millis) {
+    requests.labelValues(name(kind), outcome).inc();
+    seconds.labelValues(name(kind)).observe(millis / 1e3);
+  }
+
+  /** Counts the stage work of a request. */
+  public void stagesDone(Repeatability kind, long millis) {
+    stageSeconds.labelValues(name(kind)).observe(millis / 1e3);
+  }
+
+  /** Counts what came of a request that was sent to an upstream. */
+  public void attempt(String result) {
+    attempts.labelValues(result).inc();
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  public byte[] exposition() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException("writing to memory cannot fail", e);
+    }
+    return out.toByteArray();
+  }
+
+  private static String name(Repeatability kind) {
+    return kind.name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
@@ -0,0 +1,45 @@
+package org.gradeledge.relay;
+
+import io.netty.channel.EventLoop;
+import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.connection.UpstreamCaller;
+import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.selection.UpstreamChooser;
+import org.gradeledge.time.MonotonicClock;
+
+/**
+ * What all requests of a box share.
+ *
+ * @param zone availability zone of the box
+ * @param loop where all of it happens
+ * @param clock monotonic clock
+ * @param deployments configuration in force
+ * @param upstreams upstreams that are known
+ * @param board their load and health
+ * @param chooser chooses among them
+ * @param budget what may be sent again
+ * @param caller sends requests to them
+ * @param protocol how requests look on the wire
+ * @param stages has stage work done
+ * @param metrics counts
+ * @param events log
+ * @since 0.2
+ */
+public record RelayServices(
+    String zone,
+    EventLoop loop,
+    MonotonicClock clock,
+    DeploymentRegistry deployments,
+    UpstreamRegistry upstreams,
+    LoadBoard board,
+    UpstreamChooser chooser,
+    RetryBudget budget,
+    UpstreamCaller caller,
+    RelayProtocol protocol,
+    StageWorkClient stages,
+    RelayMetrics metrics,
+    EventLog events) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -0,0 +1,194 @@
+package org.gradeledge.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.gradeledge.batch.StageGroup;
+import org.gradeledge.batch.StageGroupResult;
+import org.gradeledge.batch.StageOutcome;
+import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.deployment.Deployment;
+import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.deployment.StageWork;
+
+/**
+ * The stage work of one request: each stage starts once those that it comes after are done, and the
+ * results that no other stage takes are handed on. Confined to the event loop.
+ */
+final class StagePlan {
+
+  private static final int MOST_REPEATS = 2;
+  private static final double GENERATION_MILLIS = 250;
+
+  private final RelayRequest request;
+  private final Deployment deployment;
+  private final List<StageWork> stages;
+  private final StageWorkClient client;
+  private final RequestClock clock;
+  private final int priority;
+  private final Map<Integer, List<String>> results = new HashMap<>();
+  private final Set<Integer> running = new HashSet<>();
+  private Consumer<List<String>> onDone = handles -> {};
+  private BiConsumer<Integer, StageOutcome> onFailure = (stage, outcome) -> {};
+  private int repeats;
+  private boolean over;
+
+  StagePlan(
+      RelayRequest request,
+      Deployment deployment,
+      RouteDefinition route,
+      StageWorkClient client,
+      RequestClock clock,
+      int priority) {
+    this.request = request;
+    this.deployment = deployment;
+    this.stages = route.stages();
+    this.client = client;
+    this.clock = clock;
+    this.priority = priority;
+  }
+
+  /** Starts the work; exactly one of the two is called, unless the plan is cancelled. */
+  void start(Consumer<List<String>> done, BiConsumer<Integer, StageOutcome> failed) {
+    onDone = done;
+    onFailure = failed;
+    startReady();
+  }
+
+  /** Does all of the work again, as a result was gone before it was fetched. */
+  void restart() {
+    freeAll();
+    over = false;
+    startReady();
+  }
+
+  /** Drops what waits and gives up what was made. */
+  void cancel() {
+    over = true;
+    running.forEach(stage -> client.cancel(stages.get(stage).service(), request.id()));
+    freeAll();
+  }
+
+  /** Gives up all results, once they have been fetched or are not needed any more. */
+  void freeAll() {
+    results.forEach((stage, handles) -> client.free(stages.get(stage).service(), handles));
+    results.clear();
+  }
+
+  /** Returns whether there is any stage work. */
+  boolean isEmpty() {
+    return stages.isEmpty() || request.pieces().stream().allMatch(count -> count == 0);
+  }
+
+  private void startReady() {
+    for (int stage = 0; stage < stages.size(); stage++) {
+      if (wanted(stage)
+          && !results.containsKey(stage)
+          && !running.contains(stage)
+          && ready(stage)) {
+        startStage(stage);
+      }
+    }
+    if (!over && running.isEmpty()) {
+      over = true;
+      onDone.accept(finalResults());
+    }
+  }
+
+  private boolean wanted(int stage) {
+    return pieces(stage) > 0;
+  }
+
+  private int pieces(int stage) {
+    return stage < request.pieces().size() ? request.pieces().get(stage) : 0;
+  }
+
+  private boolean ready(int stage) {
+    return stages.get(stage).after().stream()
+        .allMatch(before -> !wanted(before) || results.containsKey(before));
+  }
+
+  private void startStage(int stage) {
+    StageWork work = stages.get(stage);
+    running.add(stage);
+    List<String> inputs = new ArrayList<>();
+    work.after().forEach(before -> inputs.addAll(results.getOrDefault(before, List.of())));
+    long due = clock.targetLeftMillis() - (long) (tail(stage) + GENERATION_MILLIS);
+    StageGroup group =
+        new StageGroup(
+            work.service(),
+            request.id(),
+            stage,
+            pieces(stage),
+            work.after().isEmpty() ? request.pieceKey() : Optional.empty(),
+            inputs,
+            work.resultBytes(),
+            priority,
+            due,
+            clock.leftMillis());
+    client.submit(group, result -> ended(stage, result));
+  }
+
+  /** Returns about how long the stages after a stage take where nothing waits. */
+  private double tail(int stage) {
+    double longest = 0;
+    for (int next = stage + 1; next < stages.size(); next++) {
+      if (wanted(next) && stages.get(next).after().contains(stage)) {
+        longest = Math.max(longest, callMillis(next) + tail(next));
+      }
+    }
+    return longest;
+  }
+
+  private double callMillis(int stage) {
+    return deployment
+        .service(stages.get(stage).service())
+        .flatMap(service -> service.batch())
+        .map(batch -> batch.expectedMillis(Math.min(pieces(stage), batch.itemsPerCall())))
+        .orElse(0.0);
+  }
+
+  private void ended(int stage, StageGroupResult result) {
+    running.remove(stage);
+    if (over) {
+      client.free(stages.get(stage).service(), result.handles());
+      return;
+    }
+    if (result.outcome() == StageOutcome.MADE) {
+      results.put(stage, result.handles());
+      startReady();
+    } else if (result.outcome() == StageOutcome.GONE && repeats < MOST_REPEATS) {
+      repeats++;
+      stages.get(stage).after().forEach(results::remove);
+      startReady();
+    } else {
+      cancel();
+      onFailure.accept(stage, result.outcome());
+    }
+  }
+
+  private List<String> finalResults() {
+    List<String> handles = new ArrayList<>();
+    for (int stage = 0; stage < stages.size(); stage++) {
+      if (wanted(stage) && !isTaken(stage)) {
+        handles.addAll(results.getOrDefault(stage, List.of()));
+      }
+    }
+    return handles;
+  }
+
+  private boolean isTaken(int stage) {
+    for (int later = 0; later < stages.size(); later++) {
+      if (wanted(later) && stages.get(later).after().contains(stage)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/WholeAnswerAttempt.java
@@ -0,0 +1,58 @@
+package org.gradeledge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.discovery.UpstreamRecord;
+
+/** An attempt whose answer is passed on once it is whole. */
+final class WholeAnswerAttempt extends AbstractAttempt {
+
+  private static final int MOST_BYTES = 16 * 1024 * 1024;
+
+  private final AttemptListener listener;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
+
+  WholeAnswerAttempt(RelayServices services, UpstreamRecord upstream, AttemptListener listener) {
+    super(services, upstream, 0);
+    this.listener = listener;
+  }
+
+  @Override
+  void onNotRun(int answered, HttpHeaders answeredHeaders, AnswerFacts facts) {
+    listener.notRun(this, answered, answeredHeaders, facts);
+  }
+
+  @Override
+  void onRunHead(int answered, HttpHeaders answeredHeaders) {
+    status = answered;
+    headers = answeredHeaders;
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (body.size() + content.readableBytes() > MOST_BYTES) {
+      onFailure(CallFailure.GARBLED);
+      return;
+    }
+    byte[] bytes = new byte[content.readableBytes()];
+    content.readBytes(bytes);
+    body.writeBytes(bytes);
+  }
+
+  @Override
+  void onBroken(CallFailure failure) {
+    listener.failed(this, failure);
+  }
+
+  @Override
+  void onWhole() {
+    noteStatus(status);
+    listener.answered(this, status, headers, Unpooled.wrappedBuffer(body.toByteArray()));
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/Demand.java
@@ -0,0 +1,13 @@
+package org.gradeledge.selection;
+
+import java.util.Optional;
+
+/**
+ * What a request asks of an upstream.
+ *
+ * @param affinity names what an upstream may still keep of it, such as a shared part of its prompt
+ * @param tokens tokens of memory that it may need, zero where that means nothing
+ * @param zone zone that it is best served in, such as that of its inputs
+ * @since 0.2
+ */
+public record Demand(Optional<String> affinity, long tokens, String zone) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
@@ -0,0 +1,114 @@
+package org.gradeledge.selection;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.time.MonotonicClock;
+
+/**
+ * What the box knows of the load and health of all upstreams: its own requests, what its peers tell
+ * of theirs, and how calls end. Confined to the event loop.
+ *
+ * @since 0.2
+ */
+public final class LoadBoard {
+
+  private final MonotonicClock clock;
+  private final EventLog events;
+  private final Map<String, UpstreamLoad> byId = new HashMap<>();
+
+  /** Creates a board that knows nothing. */
+  public LoadBoard(MonotonicClock clock, EventLog events) {
+    this.clock = clock;
+    this.events = events;
+  }
+
+  /** Counts a request sent to an upstream. */
+  public void started(UpstreamRecord upstream, long tokens) {
+    UpstreamLoad load = load(upstream.id());
+    if (load.own().running() == 0) {
+      load.heard(clock.nanos());
+    }
+    load.started(tokens);
+  }
+
+  /** Counts the end of a request, however it ended. */
+  public void ended(UpstreamRecord upstream, long tokens) {
+    load(upstream.id()).ended(tokens);
+  }
+
+  /** Notes an answer in good order after so many milliseconds. */
+  public void succeeded(UpstreamRecord upstream, double millis) {
+    load(upstream.id()).succeeded(millis);
+  }
+
+  /**
+   * Notes a failure.
+   *
+   * @param certain whether it alone says that the upstream cannot be used now
+   */
+  public void failed(UpstreamRecord upstream, boolean certain, String why) {
+    if (load(upstream.id()).failed(certain, clock.nanos())) {
+      events
+          .change("upstream-avoided")
+          .with("upstream", upstream.id())
+          .with("service", upstream.service())
+          .with("why", why)
+          .write();
+    }
+  }
+
+  /** Sends nothing to an upstream for a while, as it said that it is full. */
+  public void pause(UpstreamRecord upstream, long millis) {
+    load(upstream.id()).avoidFor(millis, clock.nanos());
+  }
+
+  /** Notes that bytes came from an upstream. */
+  public void heard(UpstreamRecord upstream) {
+    load(upstream.id()).heard(clock.nanos());
+  }
+
+  /** Returns for how long an upstream has sent nothing while the box had requests there. */
+  public long silentMillis(UpstreamRecord upstream) {
+    return load(upstream.id()).silentMillis(clock.nanos());
+  }
+
+  /** Returns whether an upstream is not to be used if there is another. */
+  public boolean avoided(UpstreamRecord upstream) {
+    return load(upstream.id()).avoided(clock.nanos());
+  }
+
+  /** Takes the place of what a peer told before. */
+  public void setPeerShares(String box, Map<String, LoadShare> shares) {
+    byId.forEach((id, load) -> load.dropShare(box));
+    shares.forEach((id, share) -> load(id).setShare(box, share));
+  }
+
+  /** Returns what this box has under way, by upstream. */
+  public Map<String, LoadShare> ownShares() {
+    return byId.entrySet().stream()
+        .filter(entry -> entry.getValue().own().running() > 0)
+        .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().own()));
+  }
+
+  /** Forgets an upstream that has nothing under way. */
+  public void forget(UpstreamRecord upstream) {
+    UpstreamLoad load = byId.get(upstream.id());
+    if (load != null && load.own().running() == 0) {
+      byId.remove(upstream.id());
+    }
+  }
+
+  /** Returns those that are not avoided, or all if there are none. */
+  List<UpstreamRecord> preferred(List<UpstreamRecord> candidates) {
+    List<UpstreamRecord> sound = candidates.stream().filter(each -> !avoided(each)).toList();
+    return sound.isEmpty() ? candidates : sound;
+  }
+
+  UpstreamLoad load(String id) {
+    return byId.computeIfAbsent(id, unknown -> new UpstreamLoad());
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
@@ -0,0 +1,66 @@
+package org.gradeledge.selection;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+import org.gradeledge.discovery.UpstreamRecord;
+
+/**
+ * Sends requests that share a part of their prompt to the same upstream, which all boxes agree on
+ * without a word: the one that ranks first by rendezvous hashing, as long as its load is within a
+ * bound of the mean (rendezvous hashing with bounded load), else the next one in rank.
+ *
+ * @since 0.2
+ */
+public final class PrefixAffinityChooser implements UpstreamChooser {
+
+  private static final double MOST_OF_MEAN = 1.4;
+  private static final double MOST_OF_MEMORY = 0.85;
+
+  private final LoadBoard board;
+  private final UpstreamChooser withoutAffinity;
+  private final ToLongFunction<UpstreamRecord> memoryTokens;
+
+  /**
+   * Creates the chooser.
+   *
+   * @param withoutAffinity chooses for requests that share nothing
+   * @param memoryTokens tokens that an upstream has memory for, zero if not known
+   */
+  public PrefixAffinityChooser(
+      LoadBoard board,
+      UpstreamChooser withoutAffinity,
+      ToLongFunction<UpstreamRecord> memoryTokens) {
+    this.board = board;
+    this.withoutAffinity = withoutAffinity;
+    this.memoryTokens = memoryTokens;
+  }
+
+  @Override
+  public Optional<UpstreamRecord> choose(List<UpstreamRecord> candidates, Demand demand) {
+    if (demand.affinity().isEmpty() || candidates.isEmpty()) {
+      return withoutAffinity.choose(candidates, demand);
+    }
+    String key = demand.affinity().get();
+    List<UpstreamRecord> ranked =
+        board.preferred(candidates).stream()
+            .sorted(Comparator.comparingLong(each -> -RendezvousHash.weight(key, each.id())))
+            .toList();
+    double mean = ranked.stream().mapToLong(this::tokens).average().orElse(0);
+    double bound = (mean + demand.tokens()) * MOST_OF_MEAN;
+    return ranked.stream()
+        .filter(each -> tokens(each) + demand.tokens() <= Math.min(bound, memory(each)))
+        .findFirst()
+        .or(() -> ranked.stream().min(Comparator.comparingLong(this::tokens)));
+  }
+
+  private long tokens(UpstreamRecord upstream) {
+    return board.load(upstream.id()).totalTokens();
+  }
+
+  private double memory(UpstreamRecord upstream) {
+    long tokens = memoryTokens.applyAsLong(upstream);
+    return tokens == 0 ? Double.MAX_VALUE : tokens * MOST_OF_MEMORY;
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamChooser.java
@@ -0,0 +1,17 @@
+package org.gradeledge.selection;
+
+import java.util.List;
+import java.util.Optional;
+import org.gradeledge.discovery.UpstreamRecord;
+
+/**
+ * Chooses the upstream of a request.
+ *
+ * @since 0.2
+ */
+@FunctionalInterface
+public interface UpstreamChooser {
+
+  /** Returns one of the candidates, empty where there are none. */
+  Optional<UpstreamRecord> choose(List<UpstreamRecord> candidates, Demand demand);
+}
