Pieces wait a while for an upstream of their zone; results are given up once they are taken

Change: delay scheduling by the zone of the inputs or of the upstream that will run the request; large inputs choose the upstream; room counts as free only once the upstream has answered.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -1,6 +1,7 @@
 package org.gradeledge.batch;
 
 import io.netty.channel.EventLoop;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,8 @@
 
   private BatchCoordinator(Builder builder) {
     this.loop = builder.loop;
-    this.release = new ResultRelease(loop, builder.caller, builder.upstreams, builder.protocol);
+    this.release =
+        new ResultRelease(loop, builder.caller, builder.upstreams, builder.protocol, this::freed);
     this.services =
         new BatchServices(
             builder.box,
@@ -60,6 +62,14 @@
   /** Gives results up that nobody needs any more. */
   public void free(List<String> handles) {
     release.release(handles);
+  }
+
+  /** Returns the zone that a result lies in. */
+  public Optional<String> zoneOf(String handle) {
+    return services.zoneOf(handle);
+  }
+
+  private void freed(Collection<String> handles) {
     queues.values().forEach(queue -> queue.freed(handles));
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -45,7 +46,12 @@
 
   void submit(StageGroup group, Consumer<StageGroupResult> listener) {
     GroupInProgress started =
-        new GroupInProgress(group, services.box(), services.clock().nanos(), listener);
+        new GroupInProgress(
+            group,
+            services.zoneOfInputs(group),
+            services.box(),
+            services.clock().nanos(),
+            listener);
     for (int index = 0; index < group.pieces(); index++) {
       waiting.add(new StagePiece(started, index));
     }
@@ -61,7 +67,7 @@
     dropped.forEach(piece -> piece.group().cancel());
   }
 
-  void freed(List<String> handles) {
+  void freed(Collection<String> handles) {
     held.remove(handles);
     dispatch();
   }
@@ -124,7 +130,7 @@
   }
 
   private boolean call(BatchUpstream target, BatchLimits limits, long now) {
-    List<StagePiece> chosen = choose(limits, upstreams.roomBytes(target, limits));
+    List<StagePiece> chosen = choose(target, limits, now);
     if (chosen.isEmpty()) {
       return false;
     }
@@ -147,12 +153,13 @@
     return true;
   }
 
-  private List<StagePiece> choose(BatchLimits limits, long roomBytes) {
+  private List<StagePiece> choose(BatchUpstream target, BatchLimits limits, long now) {
     List<StagePiece> chosen = new ArrayList<>();
-    long left = roomBytes;
+    long left = upstreams.roomBytes(target, limits);
     for (StagePiece piece : waiting) {
       long bytes = piece.group().group().resultBytes();
-      if (chosen.size() < limits.itemsPerCall() && bytes <= left) {
+      boolean fits = chosen.size() < limits.itemsPerCall() && bytes <= left;
+      if (fits && upstreams.suits(target, piece.group(), limits, now)) {
         chosen.add(piece);
         left -= bytes;
       }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
@@ -1,11 +1,14 @@
 package org.gradeledge.batch;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.retry.RetryBudget;
@@ -35,6 +38,25 @@
     return limitsOf.apply(service);
   }
 
+  /**
+   * Returns the zone that most inputs of a group lie in, else the one its results are wanted in.
+   */
+  String zoneOfInputs(StageGroup group) {
+    return group.inputs().stream()
+        .flatMap(handle -> zoneOf(handle).stream())
+        .collect(Collectors.groupingBy(zone -> zone, Collectors.counting()))
+        .entrySet()
+        .stream()
+        .max(Map.Entry.comparingByValue())
+        .map(Map.Entry::getKey)
+        .orElse(group.zone());
+  }
+
+  /** Returns the zone that a result lies in. */
+  Optional<String> zoneOf(String handle) {
+    return upstreams.atAddress(protocol.addressOf(handle)).map(UpstreamRecord::zone);
+  }
+
   void free(List<String> handles) {
     if (!handles.isEmpty()) {
       freeing.accept(handles);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -11,6 +11,9 @@
 final class BatchUpstreams {
 
   private static final double SLOW_EXCUSE = 1.15;
+  private static final double ROOM_USED = 0.85;
+  private static final double PATIENCE_OF_CALL = 0.75;
+  private static final double HURRY_CALLS = 2;
 
   private final String service;
   private final BatchServices services;
@@ -45,7 +48,20 @@
 
   /** Returns the room for results that an upstream has left. */
   long roomBytes(BatchUpstream target, BatchLimits limits) {
-    return limits.roomBytes() - occupiedBytes(target);
+    return (long) (limits.roomBytes() * ROOM_USED) - occupiedBytes(target);
+  }
+
+  /**
+   * Returns whether an upstream may make a group's pieces now. Pieces wait a while for an upstream
+   * of the zone that their inputs lie in or their results are wanted in (delay scheduling), unless
+   * they are in a hurry.
+   */
+  boolean suits(BatchUpstream target, GroupInProgress group, BatchLimits limits, long now) {
+    return group.zone().isEmpty()
+        || group.zone().equals(target.upstream().zone())
+        || group.waitedMillis(now) >= limits.callMillis() * PATIENCE_OF_CALL
+        || !group.inTimeAfter(limits.expectedMillis(1) * HURRY_CALLS, now)
+        || usable().stream().noneMatch(each -> each.upstream().zone().equals(group.zone()));
   }
 
   private long occupiedBytes(BatchUpstream target) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -12,6 +12,8 @@
   private static final long PRIORITY_NANOS = 400_000_000L;
 
   private final StageGroup group;
+  private final String zone;
+  private final long startNanos;
   private final String box;
   private final Consumer<StageGroupResult> listener;
   private final long dueNanos;
@@ -21,8 +23,14 @@
   private boolean over;
 
   GroupInProgress(
-      StageGroup group, String box, long nowNanos, Consumer<StageGroupResult> listener) {
+      StageGroup group,
+      String zone,
+      String box,
+      long nowNanos,
+      Consumer<StageGroupResult> listener) {
     this.group = group;
+    this.zone = zone;
+    this.startNanos = nowNanos;
     this.box = box;
     this.listener = listener;
     this.dueNanos = nowNanos + group.dueMillis() * 1_000_000;
@@ -35,6 +43,15 @@
     return group;
   }
 
+  /** Returns the zone that the pieces are best made in. */
+  String zone() {
+    return zone;
+  }
+
+  long waitedMillis(long nowNanos) {
+    return (nowNanos - startNanos) / 1_000_000;
+  }
+
   boolean isOver() {
     return over;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
@@ -4,10 +4,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
 import org.gradeledge.connection.UpstreamCaller;
@@ -22,33 +24,24 @@
 
   private static final long GATHER_MILLIS = 8;
 
-  private static final CallListener NOBODY =
-      new CallListener() {
-        @Override
-        public void onHead(int status, HttpHeaders headers) {}
-
-        @Override
-        public void onContent(ByteBuf content) {}
-
-        @Override
-        public void onComplete() {}
-
-        @Override
-        public void onFailure(CallFailure failure) {}
-      };
-
   private final EventLoop loop;
   private final UpstreamCaller caller;
   private final UpstreamRegistry upstreams;
   private final StageProtocol protocol;
+  private final Consumer<Collection<String>> onReleased;
   private final Map<String, List<String>> byAddress = new HashMap<>();
 
   ResultRelease(
-      EventLoop loop, UpstreamCaller caller, UpstreamRegistry upstreams, StageProtocol protocol) {
+      EventLoop loop,
+      UpstreamCaller caller,
+      UpstreamRegistry upstreams,
+      StageProtocol protocol,
+      Consumer<Collection<String>> onReleased) {
     this.loop = loop;
     this.caller = caller;
     this.upstreams = upstreams;
     this.protocol = protocol;
+    this.onReleased = onReleased;
   }
 
   void release(List<String> handles) {
@@ -72,6 +65,30 @@
   }
 
   private void call(UpstreamRecord upstream, List<String> handles) {
-    caller.call(upstream, protocol.encodeFree(upstream, handles), NOBODY);
+    caller.call(upstream, protocol.encodeFree(upstream, handles), new Release(handles));
+  }
+
+  /** Tells of the room only once the upstream has answered, since only then it is there. */
+  private final class Release implements CallListener {
+
+    private final List<String> handles;
+
+    Release(List<String> handles) {
+      this.handles = handles;
+    }
+
+    @Override
+    public void onHead(int status, HttpHeaders headers) {}
+
+    @Override
+    public void onContent(ByteBuf content) {}
+
+    @Override
+    public void onComplete() {
+      onReleased.accept(handles);
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {}
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
@@ -13,6 +13,7 @@
  * @param key what the first stages work from, absent where there are inputs
  * @param inputs results of earlier stages
  * @param resultBytes about how large one result is
+ * @param zone zone that the results are wanted in
  * @param priority 0 is the most urgent
  * @param dueMillis time left until the results come late for the request's target, may be negative
  * @param remainingMillis time left until they are worth nothing
@@ -26,6 +27,7 @@
     Optional<String> key,
     List<String> inputs,
     long resultBytes,
+    String zone,
     int priority,
     long dueMillis,
     long remainingMillis) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
@@ -1,6 +1,7 @@
 package org.gradeledge.batch;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -13,6 +14,9 @@
   /** Starts the work on a group; the listener hears once how it ended, unless it is cancelled. */
   void submit(StageGroup group, Consumer<StageGroupResult> listener);
 
+  /** Returns the zone that a result lies in. */
+  Optional<String> zoneOf(String handle);
+
   /** Gives up the work of a request that waits for a service. */
   void cancel(String service, String requestId);
 
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -28,6 +28,7 @@
   private final List<Consumer<UpstreamRecord>> leavingListeners = new ArrayList<>();
   private final Map<String, UpstreamRecord> byId = new HashMap<>();
   private final Map<String, List<UpstreamRecord>> usable = new HashMap<>();
+  private final Map<String, UpstreamRecord> byAddress = new HashMap<>();
   private final Set<String> left = new HashSet<>();
   private long revision = -1;
 
@@ -67,6 +68,11 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns the upstream that has an address. */
+  public Optional<UpstreamRecord> atAddress(String address) {
+    return Optional.ofNullable(byAddress.get(address));
+  }
+
   /** Takes a whole list on where it is not older than what is held. */
   public void replaceAll(long newRevision, Collection<UpstreamRecord> records) {
     if (newRevision < revision) {
@@ -144,6 +150,8 @@
 
   private void rebuild() {
     usable.clear();
+    byAddress.clear();
+    byId.values().forEach(upstream -> byAddress.put(upstream.address(), upstream));
     byId.values().stream()
         .filter(upstream -> !upstream.leaving())
         .forEach(
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -92,6 +93,11 @@
         .forEach(entry -> takeOver(entry.getKey()));
   }
 
+  @Override
+  public Optional<String> zoneOf(String handle) {
+    return local.zoneOf(handle);
+  }
+
   @Override
   public void cancel(String service, String requestId) {
     local.cancel(service, requestId);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -64,7 +64,15 @@
     this.outcome =
         new ExchangeOutcome(services, request, route, deployment.revision(), clock, response);
     this.candidates = new UpstreamCandidates(services, service, request);
-    this.plan = new StagePlan(request, deployment, route, services.stages(), clock, priority());
+    this.plan =
+        new StagePlan(
+            request,
+            deployment,
+            route,
+            services.stages(),
+            clock,
+            priority(),
+            candidates.likelyZone());
     this.passedOn = request.resumeAfter();
   }
 
@@ -92,6 +100,7 @@
     services.metrics().stagesDone(route.repeatability(), clock.elapsedMillis());
     outcome.stagesDone();
     inputs = results;
+    candidates.setInputs(plan.bytesByZone());
     dispatch();
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
@@ -45,6 +45,14 @@
     return prompt.size() < 2 ? Optional.empty() : Optional.of(prompt.get(prompt.size() - 2).id());
   }
 
+  /** Returns the tokens of the prompt that other requests share. */
+  public long sharedTokens() {
+    return prompt.stream()
+        .limit(Math.max(0, prompt.size() - 1))
+        .mapToLong(PromptPart::tokens)
+        .sum();
+  }
+
   @Override
   public String toString() {
     return "RelayRequest[" + id + "]";
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageOutcome;
@@ -32,6 +33,7 @@
   private final StageWorkClient client;
   private final RequestClock clock;
   private final int priority;
+  private final String zone;
   private final Map<Integer, List<String>> results = new HashMap<>();
   private final Set<Integer> running = new HashSet<>();
   private Consumer<List<String>> onDone = handles -> {};
@@ -45,13 +47,15 @@
       RouteDefinition route,
       StageWorkClient client,
       RequestClock clock,
-      int priority) {
+      int priority,
+      String zone) {
     this.request = request;
     this.deployment = deployment;
     this.stages = route.stages();
     this.client = client;
     this.clock = clock;
     this.priority = priority;
+    this.zone = zone;
   }
 
   /** Starts the work; exactly one of the two is called, unless the plan is cancelled. */
@@ -129,6 +133,7 @@
             work.after().isEmpty() ? request.pieceKey() : Optional.empty(),
             inputs,
             work.resultBytes(),
+            zone,
             priority,
             due,
             clock.leftMillis());
@@ -162,10 +167,11 @@
     }
     if (result.outcome() == StageOutcome.MADE) {
       results.put(stage, result.handles());
+      freeTaken();
       startReady();
     } else if (result.outcome() == StageOutcome.GONE && repeats < MOST_REPEATS) {
       repeats++;
-      stages.get(stage).after().forEach(results::remove);
+      forget(stage);
       startReady();
     } else {
       cancel();
@@ -173,6 +179,52 @@
     }
   }
 
+  /** Gives up the results of stages once all stages that take them are done. */
+  private void freeTaken() {
+    for (int stage = 0; stage < stages.size(); stage++) {
+      if (isTaken(stage) && takersDone(stage)) {
+        client.free(stages.get(stage).service(), results.getOrDefault(stage, List.of()));
+        results.replace(stage, List.of());
+      }
+    }
+  }
+
+  private boolean takersDone(int stage) {
+    return IntStream.range(0, stages.size())
+        .filter(later -> wanted(later) && stages.get(later).after().contains(stage))
+        .allMatch(results::containsKey);
+  }
+
+  /** Returns where most of what is handed on lies, by bytes. */
+  Map<String, Long> bytesByZone() {
+    Map<String, Long> bytes = new HashMap<>();
+    for (int stage = 0; stage < stages.size(); stage++) {
+      long each = stages.get(stage).resultBytes();
+      if (!isTaken(stage)) {
+        results
+            .getOrDefault(stage, List.of())
+            .forEach(
+                handle -> client.zoneOf(handle).ifPresent(at -> bytes.merge(at, each, Long::sum)));
+      }
+    }
+    return bytes;
+  }
+
+  /** Forgets the results that a stage takes, so that they are made again. */
+  private void forget(int stage) {
+    for (int before : stages.get(stage).after()) {
+      client.free(stages.get(before).service(), results.getOrDefault(before, List.of()));
+      results.remove(before);
+      if (stages.get(before).after().stream().anyMatch(earlier -> freed(earlier))) {
+        forget(before);
+      }
+    }
+  }
+
+  private boolean freed(int stage) {
+    return wanted(stage) && results.getOrDefault(stage, List.of()).isEmpty();
+  }
+
   private List<String> finalResults() {
     List<String> handles = new ArrayList<>();
     for (int stage = 0; stage < stages.size(); stage++) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -12,13 +13,36 @@
 
   private final RelayServices services;
   private final String service;
-  private final Demand demand;
+  private final RelayRequest request;
+  private String zone;
+  private long zoneBytes;
   private final Set<String> tried = new HashSet<>();
 
   UpstreamCandidates(RelayServices services, String service, RelayRequest request) {
     this.services = services;
     this.service = service;
-    this.demand = new Demand(request.sharedPart(), request.tokens(), services.zone());
+    this.request = request;
+    this.zone = services.zone();
+  }
+
+  /** Returns the zone of the upstream that would be tried now. */
+  String likelyZone() {
+    return services
+        .chooser()
+        .choose(services.upstreams().usable(service), demand())
+        .map(UpstreamRecord::zone)
+        .orElse(zone);
+  }
+
+  /** Notes where what the request needs lies, in bytes by zone. */
+  void setInputs(Map<String, Long> bytesByZone) {
+    bytesByZone.entrySet().stream()
+        .max(Map.Entry.comparingByValue())
+        .ifPresent(
+            most -> {
+              zone = most.getKey();
+              zoneBytes = most.getValue();
+            });
   }
 
   /** Returns the upstream to be tried next, empty where all have been. */
@@ -27,7 +51,7 @@
         services.upstreams().usable(service).stream()
             .filter(each -> !tried.contains(each.id()))
             .toList();
-    Optional<UpstreamRecord> chosen = services.chooser().choose(left, demand);
+    Optional<UpstreamRecord> chosen = services.chooser().choose(left, demand());
     chosen.ifPresent(upstream -> tried.add(upstream.id()));
     return chosen;
   }
@@ -42,4 +66,9 @@
   void reset() {
     tried.clear();
   }
+
+  private Demand demand() {
+    return new Demand(
+        request.sharedPart(), request.sharedTokens(), request.tokens(), zone, zoneBytes);
+  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/Demand.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/Demand.java
@@ -6,8 +6,11 @@
  * What a request asks of an upstream.
  *
  * @param affinity names what an upstream may still keep of it, such as a shared part of its prompt
+ * @param sharedTokens tokens that need not be read again where they are kept
  * @param tokens tokens of memory that it may need, zero where that means nothing
  * @param zone zone that it is best served in, such as that of its inputs
+ * @param zoneBytes bytes that cross zones if it is served in another one
  * @since 0.2
  */
-public record Demand(Optional<String> affinity, long tokens, String zone) {}
+public record Demand(
+    Optional<String> affinity, long sharedTokens, long tokens, String zone, long zoneBytes) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
@@ -18,6 +18,9 @@
   private static final double MOST_OF_MEAN = 1.4;
   private static final double MOST_OF_MEMORY = 0.85;
 
+  /** Bytes between zones that are worth as much as one token that is not read again. */
+  private static final long BYTES_OF_TOKEN = 4_000;
+
   private final LoadBoard board;
   private final UpstreamChooser withoutAffinity;
   private final ToLongFunction<UpstreamRecord> memoryTokens;
@@ -44,7 +47,7 @@
     }
     String key = demand.affinity().get();
     List<UpstreamRecord> ranked =
-        board.preferred(candidates).stream()
+        inZoneIfWorth(board.preferred(candidates), demand).stream()
             .sorted(Comparator.comparingLong(each -> -RendezvousHash.weight(key, each.id())))
             .toList();
     double mean = ranked.stream().mapToLong(this::tokens).average().orElse(0);
@@ -55,6 +58,15 @@
         .or(() -> ranked.stream().min(Comparator.comparingLong(this::tokens)));
   }
 
+  private static List<UpstreamRecord> inZoneIfWorth(List<UpstreamRecord> all, Demand demand) {
+    if (demand.zoneBytes() <= demand.sharedTokens() * BYTES_OF_TOKEN) {
+      return all;
+    }
+    List<UpstreamRecord> near =
+        all.stream().filter(each -> each.zone().equals(demand.zone())).toList();
+    return near.isEmpty() ? all : near;
+  }
+
   private long tokens(UpstreamRecord upstream) {
     return board.load(upstream.id()).totalTokens();
   }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/deployment/Deployments.java
@@ -0,0 +1,45 @@
+package org.gradeledge.deployment;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Configurations for tests. */
+public final class Deployments {
+
+  private Deployments() {}
+
+  /** Returns a route with usual bounds. */
+  public static RouteDefinition route(String host, String prefix, Repeatability repeatability) {
+    return route(host, prefix, repeatability, List.of());
+  }
+
+  /** Returns a route with usual bounds and stages. */
+  public static RouteDefinition route(
+      String host, String prefix, Repeatability repeatability, List<StageWork> stages) {
+    return new RouteDefinition(
+        host + prefix,
+        host,
+        prefix,
+        repeatability,
+        2_000,
+        500,
+        1,
+        2,
+        List.of(new WeightedService("service", 1)),
+        stages,
+        true);
+  }
+
+  /** Returns a configuration of these routes. */
+  public static Deployment of(long revision, RouteDefinition... routes) {
+    return new Deployment(
+        revision,
+        new RouteTable(List.of(routes)),
+        Map.of("service", new ServiceDefinition("service", 64, Optional.empty(), Optional.empty())),
+        Map.of("known-key", new ClientAccount("account", Optional.of(0))),
+        true,
+        new CallerBounds(16_384, 1_000_000, 3_000, 15_000),
+        new byte[] {(byte) revision});
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
@@ -0,0 +1,60 @@
+package org.gradeledge.discovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gradeledge.event.EventLogs;
+import org.junit.jupiter.api.Test;
+
+class UpstreamRegistryTests {
+
+  private final UpstreamRegistry registry = new UpstreamRegistry(EventLogs.silent());
+
+  @Test
+  void aLeavingUpstreamTakesNoNewWorkAndAnOlderReportDoesNotUndoThat() {
+    List<String> ended = new ArrayList<>();
+    registry.onEnd(upstream -> ended.add(upstream.id()));
+    registry.replaceAll(1, List.of(upstream("a", false), upstream("b", false)));
+
+    registry.update(2, List.of(upstream("a", true)), List.of());
+    registry.update(3, List.of(upstream("a", false)), List.of());
+
+    assertThat(registry.usable("service")).extracting(UpstreamRecord::id).containsExactly("b");
+    assertThat(ended).containsExactly("a");
+  }
+
+  @Test
+  void anUpstreamWhoseEntryLapsedMayComeBack() {
+    registry.replaceAll(1, List.of(upstream("a", false)));
+    registry.update(2, List.of(), List.of("a"));
+    assertThat(registry.usable("service")).isEmpty();
+
+    registry.update(3, List.of(upstream("a", false)), List.of());
+
+    assertThat(registry.isUsable("a")).isTrue();
+  }
+
+  @Test
+  void anOlderListIsPassedOver() {
+    registry.replaceAll(5, List.of(upstream("a", false)));
+    registry.replaceAll(4, List.of(upstream("b", false)));
+
+    assertThat(registry.isUsable("a")).isTrue();
+    assertThat(registry.isUsable("b")).isFalse();
+    assertThat(registry.revision()).isEqualTo(5);
+  }
+
+  @Test
+  void oneWhoseAddressAnotherHasIsGoneForGood() {
+    registry.replaceAll(1, List.of(upstream("a", false)));
+    registry.markGone("a");
+    registry.update(2, List.of(upstream("a", false)), List.of());
+
+    assertThat(registry.isUsable("a")).isFalse();
+  }
+
+  private static UpstreamRecord upstream(String id, boolean leaving) {
+    return new UpstreamRecord(id, "service", "127.0.0.1", 1, "zone", 1, leaving);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
@@ -0,0 +1,124 @@
+package org.gradeledge.follow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.event.EventLogs;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+class TableFollowerTests {
+
+  private final EventLoop loop = new DefaultEventLoop();
+  private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void readsOnceAndThenFollowsChanges() throws Exception {
+    ScriptedTable table = new ScriptedTable();
+    table.reads.add(Mono.just(new TableContent(4, List.of(row("a")))));
+    table.changes.add(Mono.just(new TableChanges(6, List.of(row("b")), List.of("a"))));
+
+    follow(table);
+
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("content 4 [a]");
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 6 [b] [a]");
+    assertThat(table.askedAfter.poll(5, TimeUnit.SECONDS)).isEqualTo(4);
+    assertThat(table.askedAfter.poll(5, TimeUnit.SECONDS)).isEqualTo(6);
+  }
+
+  @Test
+  void readsAnewWhereTheHistoryWasLost() throws Exception {
+    ScriptedTable table = new ScriptedTable();
+    table.reads.add(Mono.just(new TableContent(4, List.of())));
+    table.changes.add(Mono.error(new HistoryLostException("forgotten")));
+    table.reads.add(Mono.just(new TableContent(9, List.of(row("c")))));
+
+    follow(table);
+
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("content 4 []");
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("content 9 [c]");
+  }
+
+  @Test
+  void goesOnAfterAnOutageFromWhereItStood() throws Exception {
+    ScriptedTable table = new ScriptedTable();
+    table.reads.add(Mono.error(new IOException("down")));
+    table.reads.add(Mono.just(new TableContent(4, List.of())));
+    table.changes.add(Mono.error(new IOException("down")));
+    table.changes.add(Mono.just(new TableChanges(5, List.of(row("d")), List.of())));
+
+    follow(table);
+
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("content 4 []");
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 5 [d] []");
+  }
+
+  private void follow(ScriptedTable table) {
+    TableFollower follower =
+        new TableFollower(
+            "test",
+            table,
+            new RecordingListener(),
+            loop,
+            EventLogs.silent(),
+            Duration.ZERO,
+            Duration.ZERO);
+    loop.execute(follower::start);
+  }
+
+  private static TableRow row(String key) {
+    return new TableRow(key, new byte[0]);
+  }
+
+  private final class RecordingListener implements TableListener {
+
+    @Override
+    public void onContent(TableContent content) {
+      heard.add("content " + content.revision() + " " + keys(content.rows()));
+    }
+
+    @Override
+    public void onChanges(TableChanges changes) {
+      heard.add(
+          "changes " + changes.revision() + " " + keys(changes.put()) + " " + changes.removed());
+    }
+
+    private List<String> keys(List<TableRow> rows) {
+      return rows.stream().map(TableRow::key).toList();
+    }
+  }
+
+  /** Answers as it was told, then never again. */
+  private static final class ScriptedTable implements RevisionedTable {
+
+    private final Queue<Mono<TableContent>> reads = new ArrayDeque<>();
+    private final Queue<Mono<TableChanges>> changes = new ArrayDeque<>();
+    private final BlockingQueue<Long> askedAfter = new LinkedBlockingQueue<>();
+
+    @Override
+    public Mono<TableContent> read() {
+      return reads.isEmpty() ? Mono.never() : reads.remove();
+    }
+
+    @Override
+    public Mono<TableChanges> changes(long afterRevision, Duration wait) {
+      askedAfter.add(afterRevision);
+      return changes.isEmpty() ? Mono.never() : changes.remove();
+    }
+  }
+}
