Boxes share the reading of the list of upstreams; an upstream without room is left alone for a moment

Change: each box reads every half of the leaving bound and tells the others what is new at once; a piece refused for room marks the upstream as full for 250 ms.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -25,7 +25,6 @@
   private static final double LIMIT_FACTOR = 2.5;
   private static final long LIMIT_EXTRA_MILLIS = 400;
   private static final long FULL_PAUSE_MILLIS = 60;
-  private static final long ROOM_PAUSE_MILLIS = 100;
   private static final long LOOK_AGAIN_MILLIS = 25;
 
   private final String service;
@@ -225,7 +224,7 @@
       case LATE -> end(piece.group(), StageOutcome.LATE);
       case GONE -> end(piece.group(), StageOutcome.GONE);
       case NO_ROOM -> {
-        services.board().pause(upstream, ROOM_PAUSE_MILLIS);
+        held.full(upstream.id(), limits.roomBytes());
         tryAgain(List.of(piece), true, "no room", upstream);
       }
       case ERROR -> tryAgain(List.of(piece), true, "error", upstream);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
@@ -8,6 +8,8 @@
 /** How much room results take at the upstreams of a service. Confined to the event loop. */
 final class HeldResults {
 
+  private static final long FULL_MILLIS = 250;
+
   private record Held(String upstream, long bytes, long untilNanos) {}
 
   private final MonotonicClock clock;
@@ -21,6 +23,11 @@
     byHandle.put(handle, new Held(upstream, bytes, clock.nanos() + keptMillis * 1_000_000));
   }
 
+  /** Notes that an upstream said that it has no room, whoever may hold it. */
+  void full(String upstream, long bytes) {
+    add("full@" + upstream, upstream, bytes, FULL_MILLIS);
+  }
+
   void remove(Collection<String> handles) {
     handles.forEach(byHandle::remove);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -31,6 +31,7 @@
   private final Map<String, UpstreamRecord> byAddress = new HashMap<>();
   private final Set<String> left = new HashSet<>();
   private long revision = -1;
+  private long changedAt = -1;
 
   /** Creates an empty registry. */
   public UpstreamRegistry(EventLog events) {
@@ -47,6 +48,11 @@
     return revision;
   }
 
+  /** Returns the revision at which the list last said something new, -1 at the start. */
+  public long changedAt() {
+    return changedAt;
+  }
+
   /** Returns all upstreams that are listed. */
   public Collection<UpstreamRecord> all() {
     return byId.values();
@@ -110,6 +116,9 @@
       return;
     }
     byId.put(upstream.id(), upstream);
+    if (!upstream.equals(before)) {
+      changedAt = revision;
+    }
     if (before == null) {
       log("upstream-listed", upstream);
     }
@@ -121,6 +130,9 @@
 
   private void remove(String id) {
     UpstreamRecord before = byId.remove(id);
+    if (before != null) {
+      changedAt = revision;
+    }
     if (before != null && !before.leaving()) {
       end("upstream-gone", before);
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.gradeledge.event.EventLog;
 import reactor.core.publisher.Mono;
 
@@ -27,7 +28,7 @@
   private final EventLoop loop;
   private final EventLog events;
   private final Duration wait;
-  private final Duration pause;
+  private final Supplier<Duration> pause;
   private long revision = -1;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
   private long answeredNanos = System.nanoTime();
@@ -47,7 +48,7 @@
       EventLoop loop,
       EventLog events,
       Duration wait,
-      Duration pause) {
+      Supplier<Duration> pause) {
     this.name = name;
     this.table = table;
     this.listener = listener;
@@ -102,7 +103,7 @@
       events.change("dependency-regained").with("dependency", name).write();
     }
     taker.accept(answer);
-    loop.schedule(this::next, pause.toMillis(), TimeUnit.MILLISECONDS);
+    loop.schedule(this::next, pause.get().toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void take(TableContent content) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.gradeledge.batch.BatchCoordinator;
 import org.gradeledge.batch.StageGroup;
@@ -49,7 +48,6 @@
   private final DeploymentRegistry deployments;
   private final UpstreamRegistry upstreams;
   private final LoadBoard board;
-  private final BooleanSupplier discoveryLost;
   private final PeerBoard peers;
   private final Set<String> known = new HashSet<>();
   private final Collection<String> seeds;
@@ -62,7 +60,6 @@
    *
    * @param self address of this box
    * @param seeds addresses of some boxes, which may be stale
-   * @param discoveryLost whether the list of upstreams cannot be read now
    */
   public BoxMesh(
       String self,
@@ -72,7 +69,6 @@
       DeploymentRegistry deployments,
       UpstreamRegistry upstreams,
       LoadBoard board,
-      BooleanSupplier discoveryLost,
       MonotonicClock clock,
       EventLog events) {
     this.self = self;
@@ -81,7 +77,6 @@
     this.deployments = deployments;
     this.upstreams = upstreams;
     this.board = board;
-    this.discoveryLost = discoveryLost;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
     this.peers = new PeerBoard(self, clock, events);
     peers.onLost(box -> board.setPeerShares(box, Map.of()));
@@ -121,6 +116,11 @@
     tell();
   }
 
+  /** Tells the others at once what was just learned. */
+  public void tellNow() {
+    tell();
+  }
+
   /** Returns how many boxes are heard, this one included. */
   public int boxes() {
     return peers.alive().size();
@@ -146,7 +146,7 @@
         new Heartbeat(
             leaving,
             deployments.revision(),
-            upstreams.revision(),
+            upstreams.changedAt(),
             List.copyOf(peers.alive()),
             board.ownShares()));
   }
@@ -162,7 +162,7 @@
           LEARN_DELAY_MILLIS,
           TimeUnit.MILLISECONDS);
     }
-    if (beat.upstreams() > upstreams.revision() && discoveryLost.getAsBoolean()) {
+    if (beat.upstreams() > upstreams.revision()) {
       learnUpstreams(box);
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -9,7 +9,7 @@
  *
  * @param leaving whether it is stopping
  * @param configuration revision of the configuration that it has in force
- * @param upstreams revision of the list of upstreams that it stands at
+ * @param upstreams revision at which its list of upstreams last said something new
  * @param boxes addresses of the boxes that it hears
  * @param shares what it has under way, by upstream
  */
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -44,7 +44,9 @@
 
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
   private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(60);
-  private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(400);
+  private static final double PAUSE_OF_LEAVING_BOUND = 0.5;
+  private static final double PAUSE_ALONE = 0.2;
+  private static final int BOXES_THAT_SHARE = 3;
   private static final int FEWEST_BOXES = 6;
   private static final double CONNECTION_SHARE = 0.9;
   private static final int FEWEST_CONNECTIONS = 3;
@@ -127,18 +129,28 @@
         loop,
         events,
         CONFIGURATION_WAIT,
-        CONFIGURATION_PAUSE);
+        () -> CONFIGURATION_PAUSE);
   }
 
   private TableFollower followUpstreams(RelayAdapters adapters) {
     return new TableFollower(
         "upstreams",
         adapters.upstreamTable(),
-        new UpstreamTableListener(upstreams, adapters.upstreamReader(), events),
+        new UpstreamTableListener(upstreams, adapters.upstreamReader(), events, this::tellPeers),
         loop,
         events,
         Duration.ZERO,
-        UPSTREAM_PAUSE);
+        this::upstreamPause);
+  }
+
+  /** Boxes that hear each other share the reading, as each tells the others what it learned. */
+  private Duration upstreamPause() {
+    double part = mesh.boxes() < BOXES_THAT_SHARE ? PAUSE_ALONE : PAUSE_OF_LEAVING_BOUND;
+    return Duration.ofMillis((long) (settings.leavingBound().toMillis() * part));
+  }
+
+  private void tellPeers() {
+    mesh.tellNow();
   }
 
   private BoxMesh newMesh(LoadBoard board, MonotonicClock clock) {
@@ -155,7 +167,6 @@
         deployments,
         upstreams,
         board,
-        upstreamFollower::isLost,
         clock,
         events);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelaySettings.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelaySettings.java
@@ -19,6 +19,7 @@
  * @param retryRatio requests that may be sent again for each one taken
  * @param retryAllowance requests that may be sent again besides, in a window
  * @param retryWindow length of a window
+ * @param leavingBound within this an upstream that leaves must get no new work
  * @param grace time between the signal to stop and the end
  * @since 0.2
  */
@@ -34,6 +35,7 @@
     double retryRatio,
     double retryAllowance,
     Duration retryWindow,
+    Duration leavingBound,
     Duration grace) {
 
   /** Copies the list. */
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
@@ -15,11 +15,14 @@
   private final UpstreamRegistry upstreams;
   private final UpstreamRowReader reader;
   private final EventLog events;
+  private final Runnable onNews;
 
-  UpstreamTableListener(UpstreamRegistry upstreams, UpstreamRowReader reader, EventLog events) {
+  UpstreamTableListener(
+      UpstreamRegistry upstreams, UpstreamRowReader reader, EventLog events, Runnable onNews) {
     this.upstreams = upstreams;
     this.reader = reader;
     this.events = events;
+    this.onNews = onNews;
   }
 
   @Override
@@ -29,7 +32,11 @@
 
   @Override
   public void onChanges(TableChanges changes) {
+    long before = upstreams.changedAt();
     upstreams.update(changes.revision(), read(changes.put()), changes.removed());
+    if (upstreams.changedAt() > before) {
+      onNews.run();
+    }
   }
 
   private List<UpstreamRecord> read(List<TableRow> rows) {
--- a/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
@@ -77,7 +77,7 @@
             loop,
             EventLogs.silent(),
             Duration.ZERO,
-            Duration.ZERO);
+            () -> Duration.ZERO);
     loop.execute(follower::start);
   }
 
