Requests that would come too late behind the queue are refused at once

Change: the box that makes the calls refuses a request's first work at once, with the time after which the queue will be worked off, if it would come late behind what waits; what waited for 0.4 of its time is given up. The time to the first event is learned by route.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -1,9 +1,7 @@
 package org.gradeledge.batch;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -30,7 +28,7 @@
   private final String service;
   private final BatchServices services;
   private final EventLoop loop;
-  private final List<StagePiece> waiting = new ArrayList<>();
+  private final WaitingPieces waiting = new WaitingPieces();
   private final HeldResults held;
   private final BatchUpstreams upstreams;
   private boolean lookingAgain;
@@ -51,19 +49,31 @@
             services.box(),
             services.clock().nanos(),
             listener);
-    for (int index = 0; index < group.pieces(); index++) {
-      waiting.add(new StagePiece(started, index));
+    BatchLimits limits = services.limits(service).orElse(null);
+    if (limits == null || refusedAtOnce(started, limits)) {
+      end(started, StageOutcome.LATE);
+      return;
     }
+    waiting.add(started);
     dispatch();
   }
 
+  /**
+   * Returns whether a request that has cost nothing yet would come too late behind what waits, so
+   * that it is better told now when to come back.
+   */
+  private boolean refusedAtOnce(GroupInProgress group, BatchLimits limits) {
+    if (!group.group().first()) {
+      return false;
+    }
+    long now = services.clock().nanos();
+    long ahead = waiting.aheadOf(group);
+    double own = limits.expectedMillis(Math.min(group.group().pieces(), limits.itemsPerCall()));
+    return !group.inTimeAfter(upstreams.backlogMillis(limits, ahead, now) + own, now);
+  }
+
   void cancel(String requestId) {
-    List<StagePiece> dropped =
-        waiting.stream()
-            .filter(piece -> piece.group().group().requestId().equals(requestId))
-            .toList();
-    waiting.removeAll(dropped);
-    dropped.forEach(piece -> piece.group().cancel());
+    waiting.cancel(requestId);
   }
 
   void freed(Collection<String> handles) {
@@ -82,8 +92,9 @@
       return;
     }
     long now = services.clock().nanos();
-    dropLate(limits.get(), now);
-    sort(limits.get(), now);
+    double shortest = limits.get().expectedMillis(1);
+    waiting.takeLate(shortest, now).forEach(group -> end(group, StageOutcome.LATE));
+    waiting.sort(shortest, now);
     boolean called = true;
     while (called && !waiting.isEmpty()) {
       called = callOne(limits.get(), now);
@@ -106,22 +117,6 @@
     }
   }
 
-  private void dropLate(BatchLimits limits, long now) {
-    double shortest = limits.expectedMillis(1);
-    List<StagePiece> late =
-        waiting.stream().filter(piece -> piece.group().leftMillis(now) < shortest).toList();
-    late.forEach(piece -> end(piece.group(), StageOutcome.LATE));
-    waiting.removeIf(piece -> piece.group().isOver());
-  }
-
-  /** Pieces that can still be in time go first; those that cannot are worth little. */
-  private void sort(BatchLimits limits, long now) {
-    double call = limits.expectedMillis(1);
-    waiting.sort(
-        Comparator.comparing((StagePiece piece) -> !piece.group().inTimeAfter(call, now))
-            .thenComparingLong(piece -> piece.group().orderNanos()));
-  }
-
   private boolean callOne(BatchLimits limits, long now) {
     int items = Math.min(waiting.size(), limits.itemsPerCall());
     return upstreams.worthCalling(limits, items, now).stream()
@@ -129,11 +124,14 @@
   }
 
   private boolean call(BatchUpstream target, BatchLimits limits, long now) {
-    List<StagePiece> chosen = choose(target, limits, now);
+    List<StagePiece> chosen =
+        waiting.take(
+            limits.itemsPerCall(),
+            upstreams.roomBytes(target, limits),
+            group -> upstreams.suits(target, group, limits, now));
     if (chosen.isEmpty()) {
       return false;
     }
-    waiting.removeAll(chosen);
     BatchCall call = new BatchCall(target, chosen, now, this);
     double expected = target.expectedMillis(limits, chosen.size());
     target.started(call.resultBytes(), expected, now);
@@ -152,20 +150,6 @@
     return true;
   }
 
-  private List<StagePiece> choose(BatchUpstream target, BatchLimits limits, long now) {
-    List<StagePiece> chosen = new ArrayList<>();
-    long left = upstreams.roomBytes(target, limits);
-    for (StagePiece piece : waiting) {
-      long bytes = piece.group().group().resultBytes();
-      boolean fits = chosen.size() < limits.itemsPerCall() && bytes <= left;
-      if (fits && upstreams.suits(target, piece.group(), limits, now)) {
-        chosen.add(piece);
-        left -= bytes;
-      }
-    }
-    return chosen;
-  }
-
   private static void giveUp(BatchCall call, UpstreamCall running) {
     if (!call.isOver()) {
       running.cancel();
@@ -273,6 +257,12 @@
 
   private void end(GroupInProgress group, StageOutcome outcome) {
     services.free(group.leftOver());
-    group.fail(outcome);
+    long now = services.clock().nanos();
+    long comeBack =
+        services
+            .limits(service)
+            .map(limits -> (long) upstreams.backlogMillis(limits, waiting.size(), now))
+            .orElse(0L);
+    group.fail(outcome, comeBack);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -46,6 +46,23 @@
         .toList();
   }
 
+  /** Returns about how long so many pieces keep all upstreams busy, what is under way included. */
+  double backlogMillis(BatchLimits limits, long pieces, long now) {
+    List<BatchUpstream> known = usable();
+    if (known.isEmpty()) {
+      return Double.MAX_VALUE;
+    }
+    double fullCalls = Math.ceil((double) pieces / limits.itemsPerCall());
+    double work = fullCalls * limits.callMillis() + pieces * limits.itemMillis();
+    double soonestFree =
+        known.stream().mapToDouble(each -> each.doneAfterMillis(limits, 0, now)).min().orElse(0)
+            - limits.expectedMillis(0);
+    double slowness =
+        known.stream().mapToDouble(each -> each.expectedMillis(limits, 1)).average().orElse(0)
+            / limits.expectedMillis(1);
+    return Math.max(0, soonestFree) + work * slowness / known.size();
+  }
+
   /** Returns the room for results that an upstream has left. */
   long roomBytes(BatchUpstream target, BatchLimits limits) {
     return (long) (limits.roomBytes() * ROOM_USED) - occupiedBytes(target);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -60,6 +60,11 @@
     return (endNanos - nowNanos) / 1_000_000;
   }
 
+  /** Returns whether the request is better given up than kept waiting any longer. */
+  boolean waitedTooLong(long nowNanos) {
+    return waitedMillis(nowNanos) > group.waitMillis();
+  }
+
   /** Returns whether results that come after so many milliseconds are still in time. */
   boolean inTimeAfter(double millis, long nowNanos) {
     return nowNanos + (long) (millis * 1e6) <= dueNanos;
@@ -74,13 +79,13 @@
     handles[index] = handle;
     missing--;
     if (missing == 0 && !over) {
-      end(StageOutcome.MADE, Arrays.stream(handles).map(Objects::requireNonNull).toList());
+      end(StageOutcome.MADE, Arrays.stream(handles).map(Objects::requireNonNull).toList(), 0);
     }
   }
 
-  void fail(StageOutcome outcome) {
+  void fail(StageOutcome outcome, long comeBackMillis) {
     if (!over) {
-      end(outcome, List.of());
+      end(outcome, List.of(), comeBackMillis);
     }
   }
 
@@ -94,8 +99,8 @@
     return Arrays.stream(handles).filter(Objects::nonNull).map(Objects::requireNonNull).toList();
   }
 
-  private void end(StageOutcome outcome, List<String> made) {
+  private void end(StageOutcome outcome, List<String> made, long comeBackMillis) {
     over = true;
-    listener.accept(new StageGroupResult(outcome, made, box));
+    listener.accept(new StageGroupResult(outcome, made, box, comeBackMillis));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroupResult.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroupResult.java
@@ -8,6 +8,8 @@
  * @param outcome how it ended
  * @param handles where the results lie, in the order of the pieces; empty unless made
  * @param box the box that made the calls
+ * @param comeBackMillis when asking again may help, where it was not made
  * @since 0.2
  */
-public record StageGroupResult(StageOutcome outcome, List<String> handles, String box) {}
+public record StageGroupResult(
+    StageOutcome outcome, List<String> handles, String box, long comeBackMillis) {}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -0,0 +1,82 @@
+package org.gradeledge.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/** The pieces that wait for one service, most urgent first. Confined to the event loop. */
+final class WaitingPieces {
+
+  private final List<StagePiece> pieces = new ArrayList<>();
+
+  boolean isEmpty() {
+    return pieces.isEmpty();
+  }
+
+  int size() {
+    return pieces.size();
+  }
+
+  void add(GroupInProgress group) {
+    for (int index = 0; index < group.group().pieces(); index++) {
+      pieces.add(new StagePiece(group, index));
+    }
+  }
+
+  void addAll(Collection<StagePiece> again) {
+    pieces.addAll(again);
+  }
+
+  /** Returns how many pieces go before those of a group. */
+  long aheadOf(GroupInProgress group) {
+    return pieces.stream()
+        .filter(piece -> piece.group().orderNanos() <= group.orderNanos())
+        .count();
+  }
+
+  /** Drops the pieces of a request without telling anybody. */
+  void cancel(String requestId) {
+    pieces.stream()
+        .filter(piece -> piece.group().group().requestId().equals(requestId))
+        .forEach(piece -> piece.group().cancel());
+    pieces.removeIf(piece -> piece.group().isOver());
+  }
+
+  /** Takes out the groups that are better given up; a call takes at least so many milliseconds. */
+  Set<GroupInProgress> takeLate(double shortestMillis, long now) {
+    Set<GroupInProgress> late =
+        pieces.stream()
+            .map(StagePiece::group)
+            .filter(group -> !group.isOver())
+            .filter(group -> group.leftMillis(now) < shortestMillis || group.waitedTooLong(now))
+            .collect(Collectors.toSet());
+    pieces.removeIf(piece -> piece.group().isOver() || late.contains(piece.group()));
+    return late;
+  }
+
+  /** Pieces that can still be in time go first; those that cannot are worth little. */
+  void sort(double callMillis, long now) {
+    pieces.sort(
+        Comparator.comparing((StagePiece piece) -> !piece.group().inTimeAfter(callMillis, now))
+            .thenComparingLong(piece -> piece.group().orderNanos()));
+  }
+
+  /** Takes out the most urgent pieces that a call has place and room for. */
+  List<StagePiece> take(int most, long roomBytes, Predicate<GroupInProgress> suits) {
+    List<StagePiece> chosen = new ArrayList<>();
+    long left = roomBytes;
+    for (StagePiece piece : pieces) {
+      long bytes = piece.group().group().resultBytes();
+      if (chosen.size() < most && bytes <= left && suits.test(piece.group())) {
+        chosen.add(piece);
+        left -= bytes;
+      }
+    }
+    pieces.removeAll(chosen);
+    return chosen;
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
@@ -2,6 +2,7 @@
 
 import org.gradeledge.connection.CallListener;
 import org.gradeledge.connection.UpstreamCall;
+import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /** One try of a request at one upstream. Confined to the event loop. */
@@ -15,4 +16,16 @@
 
   /** Gives the call up. */
   void cancel();
+
+  /** Returns an attempt of the kind that the route's answers need. */
+  static Attempt create(
+      RelayServices services,
+      UpstreamRecord upstream,
+      RouteDefinition route,
+      RelayRequest request,
+      AttemptListener listener) {
+    return route.repeatability().streaming()
+        ? new StreamAttempt(services, upstream, request.tokens(), listener)
+        : new WholeAnswerAttempt(services, upstream, listener);
+  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -11,17 +12,21 @@
 /** The answer of one request, and the lines and counts that tell how it came about. */
 final class ExchangeOutcome {
 
-  private static final long RETRY_AFTER_MILLIS = 300;
+  private static final long SHORTEST_RETRY_MILLIS = 300;
+  private static final long LONGEST_RETRY_MILLIS = 2_500;
+  private static final double SPREAD = 0.5;
 
   private final RelayServices services;
   private final RelayRequest request;
   private final RouteDefinition route;
   private final long revision;
   private final RequestClock clock;
+  private final FirstEventTimes firstEvents;
   private final CallerResponse response;
   private final StringBuilder path = new StringBuilder();
   private long stagesMillis = -1;
   private long firstEventMillis = -1;
+  private long comeBackMillis = SHORTEST_RETRY_MILLIS;
   private boolean over;
 
   ExchangeOutcome(
@@ -30,12 +35,14 @@
       RouteDefinition route,
       long revision,
       RequestClock clock,
+      FirstEventTimes firstEvents,
       CallerResponse response) {
     this.services = services;
     this.request = request;
     this.route = route;
     this.revision = revision;
     this.clock = clock;
+    this.firstEvents = firstEvents;
     this.response = response;
   }
 
@@ -43,6 +50,13 @@
     return over;
   }
 
+  /** Notes when asking again may help; spread, so that callers do not come back all at once. */
+  void comeBackAfter(long millis) {
+    double spread = 1 + SPREAD * ThreadLocalRandom.current().nextDouble();
+    long later = (long) (Math.min(millis, LONGEST_RETRY_MILLIS) * spread);
+    comeBackMillis = Math.max(SHORTEST_RETRY_MILLIS, Math.min(later, LONGEST_RETRY_MILLIS));
+  }
+
   void stagesDone() {
     stagesMillis = clock.elapsedMillis();
   }
@@ -69,6 +83,7 @@
 
   void beginStream(int status, HttpHeaders headers) {
     firstEventMillis = clock.elapsedMillis();
+    firstEvents.observe(route.name(), firstEventMillis - Math.max(0, stagesMillis));
     response.beginStream(status, headers);
   }
 
@@ -94,7 +109,7 @@
     if (streaming) {
       response.abort();
     } else {
-      response.refuse(refusal, RETRY_AFTER_MILLIS);
+      response.refuse(refusal, comeBackMillis);
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.gradeledge.batch.StageOutcome;
+import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.ConnectionReuse;
 import org.gradeledge.connection.OutgoingRequest;
@@ -53,6 +53,7 @@
       Deployment deployment,
       RouteDefinition route,
       Optional<ClientAccount> account,
+      FirstEventTimes firstEvents,
       CallerResponse response) {
     this.services = services;
     this.request = request;
@@ -62,7 +63,8 @@
     long limit = Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
     this.clock = new RequestClock(services.clock(), limit, route.targetMillis());
     this.outcome =
-        new ExchangeOutcome(services, request, route, deployment.revision(), clock, response);
+        new ExchangeOutcome(
+            services, request, route, deployment.revision(), clock, firstEvents, response);
     this.candidates = new UpstreamCandidates(services, service, request);
     this.plan =
         new StagePlan(
@@ -72,7 +74,8 @@
             services.stages(),
             clock,
             priority(),
-            candidates.likelyZone());
+            candidates.likelyZone(),
+            firstEvents.usualMillis(route.name()));
     this.passedOn = request.resumeAfter();
   }
 
@@ -104,8 +107,9 @@
     dispatch();
   }
 
-  private void stagesFailed(int stage, StageOutcome stageOutcome) {
-    finish(Refusal.STAGES_FAILED, "stage " + stage + " " + stageOutcome);
+  private void stagesFailed(int stage, StageGroupResult result) {
+    outcome.comeBackAfter(result.comeBackMillis());
+    finish(Refusal.STAGES_FAILED, "stage " + stage + " " + result.outcome());
   }
 
   private void dispatch() {
@@ -114,11 +118,7 @@
 
   private void send(UpstreamRecord upstream) {
     sends++;
-    boolean stream = route.repeatability().streaming();
-    Attempt next =
-        stream
-            ? new StreamAttempt(services, upstream, request.tokens(), this)
-            : new WholeAnswerAttempt(services, upstream, this);
+    Attempt next = Attempt.create(services, upstream, route, request, this);
     attempt = next;
     AttemptFacts facts =
         new AttemptFacts(
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -25,6 +25,7 @@
   private static final long SOON_MILLIS = 250;
 
   private final RelayServices services;
+  private final FirstEventTimes firstEvents = new FirstEventTimes();
   private boolean stopping;
 
   /** Creates the handler. */
@@ -63,7 +64,8 @@
       return refuse(request, Refusal.BODY_TOO_LARGE, response);
     }
     RelayExchange exchange =
-        new RelayExchange(services, request, deployment, route.get(), account, response);
+        new RelayExchange(
+            services, request, deployment, route.get(), account, firstEvents, response);
     exchange.start();
     return exchange::callerGone;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestClock.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestClock.java
@@ -31,6 +31,12 @@
     return Math.max(0, limitMillis - elapsedMillis());
   }
 
+  /** Returns the time left until a part of all the time is used, the whole rest once it is. */
+  long leftOfPartMillis(double part) {
+    long left = (long) (limitMillis * part) - elapsedMillis();
+    return left > 0 ? left : leftMillis();
+  }
+
   /** Returns the time left until the answer comes late, negative once it is. */
   long targetLeftMillis() {
     return targetMillis - elapsedMillis();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -25,7 +25,7 @@
 final class StagePlan {
 
   private static final int MOST_REPEATS = 2;
-  private static final double GENERATION_MILLIS = 250;
+  private static final double MOST_OF_TIME_WAITED = 0.4;
 
   private final RelayRequest request;
   private final Deployment deployment;
@@ -34,10 +34,11 @@
   private final RequestClock clock;
   private final int priority;
   private final String zone;
+  private final double firstEventMillis;
   private final Map<Integer, List<String>> results = new HashMap<>();
   private final Set<Integer> running = new HashSet<>();
   private Consumer<List<String>> onDone = handles -> {};
-  private BiConsumer<Integer, StageOutcome> onFailure = (stage, outcome) -> {};
+  private BiConsumer<Integer, StageGroupResult> onFailure = (stage, result) -> {};
   private int repeats;
   private boolean over;
 
@@ -48,7 +49,8 @@
       StageWorkClient client,
       RequestClock clock,
       int priority,
-      String zone) {
+      String zone,
+      double firstEventMillis) {
     this.request = request;
     this.deployment = deployment;
     this.stages = route.stages();
@@ -56,10 +58,11 @@
     this.clock = clock;
     this.priority = priority;
     this.zone = zone;
+    this.firstEventMillis = firstEventMillis;
   }
 
   /** Starts the work; exactly one of the two is called, unless the plan is cancelled. */
-  void start(Consumer<List<String>> done, BiConsumer<Integer, StageOutcome> failed) {
+  void start(Consumer<List<String>> done, BiConsumer<Integer, StageGroupResult> failed) {
     onDone = done;
     onFailure = failed;
     startReady();
@@ -123,7 +126,7 @@
     running.add(stage);
     List<String> inputs = new ArrayList<>();
     work.after().forEach(before -> inputs.addAll(results.getOrDefault(before, List.of())));
-    long due = clock.targetLeftMillis() - (long) (tail(stage) + GENERATION_MILLIS);
+    long due = clock.targetLeftMillis() - (long) (tail(stage) + firstEventMillis);
     StageGroup group =
         new StageGroup(
             work.service(),
@@ -136,7 +139,9 @@
             zone,
             priority,
             due,
-            clock.leftMillis());
+            clock.leftMillis(),
+            clock.leftOfPartMillis(MOST_OF_TIME_WAITED),
+            results.isEmpty());
     client.submit(group, result -> ended(stage, result));
   }
 
@@ -175,7 +180,7 @@
       startReady();
     } else {
       cancel();
-      onFailure.accept(stage, result.outcome());
+      onFailure.accept(stage, result);
     }
   }
 
