--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -67,7 +67,7 @@
       return false;
     }
     long now = services.clock().nanos();
-    long ahead = waiting.aheadOf(group);
+    long ahead = waiting.aheadOf(group, limits.expectedMillis(1), now);
     double own = limits.expectedMillis(Math.min(group.group().pieces(), limits.itemsPerCall()));
     return !group.inTimeAfter(upstreams.backlogMillis(limits, ahead, now) + own, now);
   }
@@ -194,7 +194,9 @@
   private void take(BatchCall call, List<PieceResult> results) {
     double millis = (services.clock().nanos() - call.startNanos()) / 1e6;
     BatchLimits limits = services.limits(service).orElseThrow();
-    call.target().measured(millis / limits.expectedMillis(call.pieces().size()));
+    if (results.stream().allMatch(result -> result.kind() == PieceResult.Kind.MADE)) {
+      call.target().measured(millis / limits.expectedMillis(call.pieces().size()));
+    }
     services.board().succeeded(call.target().upstream(), millis);
     for (int i = 0; i < results.size(); i++) {
       take(call, call.pieces().get(i), results.get(i), limits);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -27,11 +27,12 @@
   }
 
   /**
-   * Returns the upstreams that are free, fastest first; one so slow that waiting for another would
-   * be faster is left out.
+   * Returns the upstreams that are free and have room, fastest first; one so slow that waiting for
+   * another would be faster is left out.
    */
   List<BatchUpstream> worthCalling(BatchLimits limits, int items, long now) {
-    List<BatchUpstream> known = usable();
+    List<BatchUpstream> known =
+        usable().stream().filter(each -> roomBytes(each, limits) > 0).toList();
     double soonest =
         known.stream()
             .mapToDouble(each -> each.doneAfterMillis(limits, items, now))
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -31,9 +31,10 @@
     pieces.addAll(again);
   }
 
-  /** Returns how many pieces go before those of a group. */
-  long aheadOf(GroupInProgress group) {
+  /** Returns how many pieces go before those of a group; a call takes so many milliseconds. */
+  long aheadOf(GroupInProgress group, double callMillis, long now) {
     return pieces.stream()
+        .filter(piece -> piece.group().inTimeAfter(callMillis, now))
         .filter(piece -> piece.group().orderNanos() <= group.orderNanos())
         .count();
   }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/BatchCoordinatorTests.java
@@ -0,0 +1,266 @@
+package org.gradeledge.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.FakeUpstreamCaller;
+import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLogs;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class BatchCoordinatorTests {
+
+  private static final long ROOM = 1_000;
+  private static final BatchLimits LIMITS = new BatchLimits(1, 4, 400, 1, ROOM, 60_000);
+
+  private final EventLoop loop = new DefaultEventLoop();
+  private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
+  private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
+  private final BlockingQueue<StageGroupResult> results = new LinkedBlockingQueue<>();
+  private final BatchCoordinator coordinator = newCoordinator(100);
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void piecesOfSeveralRequestsShareACallWhileTheUpstreamIsBusy() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    submit(group("a", 1));
+    FakeUpstreamCaller.Call first = caller.next();
+    submit(group("b", 2));
+    submit(group("c", 3));
+
+    answer(first, "10.0.0.1:1/a0");
+    FakeUpstreamCaller.Call second = caller.next();
+
+    assertThat(first.body()).isEqualTo("a:0");
+    assertThat(second.body()).isEqualTo("b:0 b:1 c:0 c:1");
+  }
+
+  @Test
+  void aGroupEndsWithAllItsResultsInTheirOrder() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    submit(group("a", 6));
+    answer(caller.next(), "10.0.0.1:1/0 10.0.0.1:1/1 10.0.0.1:1/2 10.0.0.1:1/3");
+    answer(caller.next(), "10.0.0.1:1/4 10.0.0.1:1/5");
+
+    StageGroupResult result = results.poll(10, TimeUnit.SECONDS);
+
+    assertThat(result.outcome()).isEqualTo(StageOutcome.MADE);
+    assertThat(result.handles())
+        .containsExactlyElementsOf(IntStream.range(0, 6).mapToObj(i -> "10.0.0.1:1/" + i).toList());
+  }
+
+  @Test
+  void aCallThatBreaksOffIsMadeAgainByAnotherUpstream() throws Exception {
+    list(upstream("u1", 1, "zone"), upstream("u2", 2, "zone"));
+    submit(group("a", 2));
+    FakeUpstreamCaller.Call first = caller.next();
+    loop.submit(() -> first.fail(CallFailure.NOT_CONNECTED)).sync();
+
+    FakeUpstreamCaller.Call second = caller.next();
+
+    assertThat(second.target()).isNotEqualTo(first.target());
+    assertThat(second.body()).isEqualTo(first.body());
+  }
+
+  @Test
+  void withoutRetryBudgetABrokenCallFailsItsGroups() throws Exception {
+    BatchCoordinator poor = newCoordinator(0);
+    list(upstream("u1", 1, "zone"));
+    loop.submit(() -> poor.submit(group("a", 1), results::add)).sync();
+    FakeUpstreamCaller.Call call = caller.next();
+    loop.submit(() -> call.fail(CallFailure.BROKEN)).sync();
+
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.FAILED);
+  }
+
+  @Test
+  void anInputThatIsGoneEndsTheGroupAndGivesItsOtherResultsUp() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    submit(group("a", 2));
+    answer(caller.next(), "10.0.0.1:1/0 gone");
+
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.GONE);
+    FakeUpstreamCaller.Call free = caller.next();
+    assertThat(free.uri()).isEqualTo("/free");
+    assertThat(free.body()).isEqualTo("10.0.0.1:1/0");
+  }
+
+  @Test
+  void noCallIsMadeBeforeThereIsRoomForItsResults() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    submit(large("a", 1, ROOM / 2));
+    answer(caller.next(), "10.0.0.1:1/a");
+    submit(large("b", 1, ROOM / 2));
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.MADE);
+    assertThat(caller.isQuiet()).isTrue();
+
+    loop.submit(() -> coordinator.free(List.of("10.0.0.1:1/a"))).sync();
+    FakeUpstreamCaller.Call free = caller.next();
+    assertThat(caller.isQuiet()).isTrue();
+    answer(free, "");
+
+    assertThat(caller.next().body()).isEqualTo("b:0");
+  }
+
+  @Test
+  void anUpstreamThatSaysItHasNoRoomIsNotAskedAgainAtOnce() throws Exception {
+    list(upstream("u1", 1, "zone"), upstream("u2", 2, "zone"));
+    submit(large("a", 1, 100));
+    FakeUpstreamCaller.Call first = caller.next();
+    answer(first, "no_room");
+
+    assertThat(caller.next().target()).isNotEqualTo(first.target());
+  }
+
+  @Test
+  void piecesAreMadeInTheZoneTheyAreWantedInWhereThatIsFree() throws Exception {
+    list(upstream("u1", 1, "zone-1"), upstream("u2", 2, "zone-2"));
+    for (int i = 0; i < 5; i++) {
+      submit(inZone("a" + i, "zone-2"));
+      FakeUpstreamCaller.Call call = caller.next();
+      assertThat(call.target().zone()).isEqualTo("zone-2");
+      answer(call, "10.0.0.2:2/" + i);
+    }
+  }
+
+  @Test
+  void piecesThatWaitedLongEnoughTakeAnyZone() throws Exception {
+    list(upstream("u1", 1, "zone-1"), upstream("u2", 2, "zone-2"));
+    submit(inZone("a", "zone-2"));
+    caller.next();
+    submit(inZone("b", "zone-2"));
+
+    assertThat(caller.next().target().zone()).isEqualTo("zone-1");
+  }
+
+  @Test
+  void aFirstGroupThatWouldComeTooLateIsRefusedAtOnceAndToldWhenToComeBack() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    for (int i = 0; i < 50; i++) {
+      submit(due("busy" + i, 4, 1, 30_000, false));
+    }
+    submit(due("late", 1, 60, 10_000, true));
+
+    StageGroupResult result = results.poll(10, TimeUnit.SECONDS);
+
+    assertThat(result.outcome()).isEqualTo(StageOutcome.LATE);
+    assertThat(result.comeBackMillis()).isGreaterThan(500);
+  }
+
+  @Test
+  void whatWaitedForTooLongIsGivenUp() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    submit(group("busy", 4));
+    submit(
+        new StageGroup(
+            "service", "a", 1, 1, Optional.empty(), List.of(), 1, "", 1, 60, 60_000, 10, false));
+
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.LATE);
+  }
+
+  private BatchCoordinator newCoordinator(double allowance) {
+    MonotonicClock clock = MonotonicClock.system();
+    return BatchCoordinator.builder()
+        .box("box", loop, clock)
+        .upstreams(upstreams, service -> Optional.of(LIMITS))
+        .calls(caller, new FakeStageProtocol())
+        .beliefs(
+            new LoadBoard(clock, EventLogs.silent()),
+            new RetryBudget(clock, 0, allowance, Duration.ofSeconds(10), () -> 1),
+            EventLogs.silent())
+        .build();
+  }
+
+  private void list(UpstreamRecord... records) throws InterruptedException {
+    loop.submit(() -> upstreams.replaceAll(1, List.of(records))).sync();
+  }
+
+  private void submit(StageGroup group) throws InterruptedException {
+    loop.submit(() -> coordinator.submit(group, results::add)).sync();
+  }
+
+  private void answer(FakeUpstreamCaller.Call call, String body) throws InterruptedException {
+    loop.submit(() -> call.answer(200, body)).sync();
+  }
+
+  private static StageGroup group(String request, int pieces) {
+    return large(request, pieces, 1);
+  }
+
+  private static StageGroup large(String request, int pieces, long bytes) {
+    return new StageGroup(
+        "service",
+        request,
+        0,
+        pieces,
+        Optional.empty(),
+        List.of(),
+        bytes,
+        "",
+        1,
+        60_000,
+        60_000,
+        60_000,
+        false);
+  }
+
+  private static StageGroup due(
+      String request, int pieces, int priority, long dueMillis, boolean first) {
+    return new StageGroup(
+        "service",
+        request,
+        0,
+        pieces,
+        Optional.empty(),
+        List.of(),
+        1,
+        "",
+        priority,
+        dueMillis,
+        60_000,
+        60_000,
+        first);
+  }
+
+  private static StageGroup inZone(String request, String zone) {
+    return new StageGroup(
+        "service",
+        request,
+        0,
+        1,
+        Optional.empty(),
+        List.of(),
+        1,
+        zone,
+        1,
+        60_000,
+        60_000,
+        60_000,
+        false);
+  }
+
+  private static UpstreamRecord upstream(String id, int number, String zone) {
+    return new UpstreamRecord(id, "service", "10.0.0." + number, number, zone, 1, false);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -0,0 +1,88 @@
+package org.gradeledge.connection;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.discovery.UpstreamRecord;
+
+/** Calls nobody; a test answers in the upstreams' place. */
+public final class FakeUpstreamCaller implements UpstreamCaller {
+
+  /** A call as it was made. */
+  public static final class Call implements UpstreamCall {
+
+    private final UpstreamRecord target;
+    private final OutgoingRequest request;
+    private final CallListener listener;
+    private volatile boolean cancelled;
+
+    Call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
+      this.target = target;
+      this.request = request;
+      this.listener = listener;
+    }
+
+    /** Returns where it went. */
+    public UpstreamRecord target() {
+      return target;
+    }
+
+    /** Returns its body as text. */
+    public String body() {
+      return new String(request.body(), StandardCharsets.UTF_8);
+    }
+
+    /** Returns its path. */
+    public String uri() {
+      return request.uri();
+    }
+
+    /** Returns whether it was given up. */
+    public boolean cancelled() {
+      return cancelled;
+    }
+
+    /** Answers it; must be called on the event loop. */
+    public void answer(int status, String body) {
+      listener.onHead(status, new DefaultHttpHeaders());
+      listener.onContent(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+      listener.onComplete();
+    }
+
+    /** Breaks it off; must be called on the event loop. */
+    public void fail(CallFailure failure) {
+      listener.onFailure(failure);
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+  }
+
+  private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+
+  @Override
+  public UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
+    Call call = new Call(target, request, listener);
+    calls.add(call);
+    return call;
+  }
+
+  /** Returns the next call, waiting for it. */
+  public Call next() throws InterruptedException {
+    Call call = calls.poll(10, TimeUnit.SECONDS);
+    if (call == null) {
+      throw new AssertionError("no call was made");
+    }
+    return call;
+  }
+
+  /** Returns whether no call is waiting to be looked at. */
+  public boolean isQuiet() {
+    return calls.isEmpty();
+  }
+}
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineFault.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineFault.java
@@ -18,6 +18,8 @@
   CUT_WITHOUT_LENGTH,
   /** It answers 500. */
   ERROR,
+  /** It takes about a second for a stream. */
+  SLOW,
   /** It takes the request and never answers. */
   HANG,
   /** Another engine has its address. */
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.StreamSupport;
@@ -26,6 +27,7 @@
   /** Events of a whole stream. */
   public static final int EVENTS = 6;
 
+  private static final long SLOW_NANOS = 150_000_000;
   private static final int HALF = EVENTS / 2;
   private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
 
@@ -126,6 +128,7 @@
     return switch (fault) {
       case ANSWER_LOST -> reset(socket);
       case HANG -> hang(socket);
+      case SLOW -> slowly(request, out);
       case ERROR -> send(out, whole(request, 500, "X-Response-Stamp: s\r\n", "failed"));
       case CUT -> cut(request, socket);
       case CUT_WITHOUT_LENGTH -> cutWithoutLength(request, socket);
@@ -184,6 +187,15 @@
     return false;
   }
 
+  private static boolean slowly(SeenRequest request, OutputStream out) throws IOException {
+    send(out, head(request, CHUNKED));
+    for (int event = 1; event <= EVENTS; event++) {
+      LockSupport.parkNanos(SLOW_NANOS);
+      send(out, chunk("id: " + event + "\ndata: piece " + event + "\n\n"));
+    }
+    return send(out, "0\r\n\r\n");
+  }
+
   private static boolean hang(Socket socket) throws IOException {
     return socket.getInputStream().read() >= 0;
   }
