Resting connections give way at the limit; an upstream that was never used is tried

Cause: found by FleetBoxesTests: calls on connections of their own left each of them resting until the box's share of the upstream's connections was used up, then every call failed at once, again and again (also seen as 503 of staged requests). An upstream without a measured time counted as 10 ms, so beside faster ones it was never chosen. Change: such connections are closed after their call, the longest resting one gives way at the limit, a box at its limit does not speak against the upstream. Unknown counts as the fastest known. Tests first failed: PooledUpstreamCallerTests (two of five by construction), LeastLoadedChooserTests, FleetBoxesTests.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -181,7 +181,11 @@
     ended(call);
     boolean sent = failure.map(CallFailure::sent).orElse(true);
     String why = failure.map(CallFailure::name).orElse("no answer in time");
-    services.board().failed(call.target().upstream(), !sent || failure.isEmpty(), why);
+    if (failure.filter(CallFailure.NO_CONNECTION_FREE::equals).isPresent()) {
+      services.board().pause(call.target().upstream(), FULL_PAUSE_MILLIS);
+    } else {
+      services.board().failed(call.target().upstream(), !sent || failure.isEmpty(), why);
+    }
     tryAgain(call, sent, why);
     dispatch();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -59,7 +59,7 @@
     UpstreamConnection kept = connections.takeKept(request.reuse());
     if (kept != null) {
       loop.execute(() -> kept.start(call));
-    } else if (connections.open() >= connectionLimit.applyAsInt(target)) {
+    } else if (!connections.makeRoom(connectionLimit.applyAsInt(target))) {
       loop.execute(() -> call.fail(CallFailure.NO_CONNECTION_FREE));
     } else {
       connect(target, connections, call);
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -65,6 +65,7 @@
     }
     call = next;
     headSeen = false;
+    reusable &= next.request().reuse() != ConnectionReuse.NONE;
     next.onCancel(this::close);
     written = channel.writeAndFlush(encode(next.request()));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
@@ -16,6 +16,14 @@
     return open;
   }
 
+  /** Returns whether one more may be opened; a kept one that rests is closed for it. */
+  boolean makeRoom(int limit) {
+    if (open >= limit && !kept.isEmpty()) {
+      kept.removeFirst().close();
+    }
+    return open < limit;
+  }
+
   void opened() {
     open++;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -85,10 +85,18 @@
   public final void onFailure(CallFailure failure) {
     if (finish()) {
       services.metrics().attempt(failure.sent() ? "broken" : "not_sent");
+      noteFailure(failure);
       onBroken(failure);
     }
   }
 
+  private void noteFailure(CallFailure failure) {
+    if (failure != CallFailure.NO_CONNECTION_FREE) {
+      boolean certain = failure == CallFailure.NOT_CONNECTED;
+      services.board().failed(upstream, certain, failure.name());
+    }
+  }
+
   /** Notes on the board how the answer's status speaks of the upstream. */
   final void noteStatus(int status) {
     if (status >= FIRST_FAILURE) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -144,6 +144,7 @@
   private void giveUpSilent(Attempt watched) {
     if (watched == attempt && mayRunAgain()) {
       watched.cancel();
+      services.board().failed(watched.upstream(), true, "silent");
       failed(watched, CallFailure.BROKEN);
     }
   }
@@ -184,7 +185,6 @@
   public void failed(Attempt ended, CallFailure failure) {
     stopWatch();
     outcome.failed(ended.upstream(), failure);
-    services.board().failed(ended.upstream(), failure == CallFailure.NOT_CONNECTED, failure.name());
     if (!failure.sent()) {
       again(failure.name(), Refusal.UPSTREAMS_FULL, false);
       return;
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/LeastLoadedChooser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LeastLoadedChooser.java
@@ -14,7 +14,7 @@
  */
 public final class LeastLoadedChooser implements UpstreamChooser {
 
-  private static final double UNKNOWN_MILLIS = 10;
+  private static final double NOTHING_KNOWN_MILLIS = 10;
   private static final double OTHER_ZONE = 1.1;
   private static final double NOISE = 0.2;
 
@@ -31,19 +31,30 @@
   public Optional<UpstreamRecord> choose(List<UpstreamRecord> candidates, Demand demand) {
     record Scored(UpstreamRecord upstream, double score) {}
 
-    return board.preferred(candidates).stream()
-        .map(each -> new Scored(each, score(each, demand)))
+    List<UpstreamRecord> preferred = board.preferred(candidates);
+    double unknown = fastestMillis(preferred);
+    return preferred.stream()
+        .map(each -> new Scored(each, score(each, demand, unknown)))
         .min(Comparator.comparingDouble(Scored::score))
         .map(Scored::upstream);
   }
 
-  private double score(UpstreamRecord upstream, Demand demand) {
+  /** One that was never used counts as fast as the fastest, so that it is tried. */
+  private double fastestMillis(List<UpstreamRecord> upstreams) {
+    return upstreams.stream()
+        .mapToDouble(each -> board.load(each.id()).latencyMillis())
+        .filter(millis -> millis > 0)
+        .min()
+        .orElse(NOTHING_KNOWN_MILLIS);
+  }
+
+  private double score(UpstreamRecord upstream, Demand demand, double unknownMillis) {
     UpstreamLoad load = board.load(upstream.id());
     int slots = Math.max(1, upstream.slots());
     double queue = 1 + (double) load.totalRunning() / slots;
     double full = load.totalRunning() >= slots ? 1 + load.totalRunning() - slots : 1;
     double zone = upstream.zone().equals(demand.zone()) ? 1 : OTHER_ZONE;
     double noise = 1 + NOISE * random.nextDouble();
-    return load.cost(UNKNOWN_MILLIS) * queue * full * zone * noise;
+    return load.cost(unknownMillis) * queue * full * zone * noise;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
@@ -7,6 +7,7 @@
 final class UpstreamLoad {
 
   private static final double SMOOTHING = 0.2;
+  private static final double FAILURE_COST = 4;
   private static final int FAILURES_TO_SUSPECT = 3;
   private static final long FIRST_PAUSE_MILLIS = 500;
   private static final long LONGEST_PAUSE_MILLIS = 4_000;
@@ -86,9 +87,14 @@
     return tokens + ofPeers.values().stream().mapToLong(LoadShare::tokens).sum();
   }
 
+  /** Returns the usual time of a request there, zero if none was measured. */
+  double latencyMillis() {
+    return latencyMillis;
+  }
+
   /** Returns about how long a request takes there, failures counted as slowness. */
   double cost(double unknownMillis) {
     double latency = latencyMillis == 0 ? unknownMillis : latencyMillis;
-    return latency * (1 + 4 * failureShare);
+    return latency * (1 + FAILURE_COST * failureShare);
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -0,0 +1,141 @@
+package org.gradeledge.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+
+@Timeout(30)
+class PooledUpstreamCallerTests {
+
+  private static final int LIMIT = 2;
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> connections = new LinkedBlockingQueue<>();
+  private final PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, upstream -> LIMIT);
+  private DisposableServer server;
+
+  @BeforeEach
+  void start() {
+    server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(0)
+            .doOnChannelInit((observer, channel, remote) -> connections.add("opened"))
+            .handle((request, response) -> answer(request.uri(), response))
+            .bindNow();
+  }
+
+  private static Publisher<Void> answer(String uri, HttpServerResponse response) {
+    return uri.equals("/never") ? Mono.never() : response.sendString(Mono.just("ok"));
+  }
+
+  @AfterEach
+  void stop() {
+    server.disposeNow();
+    group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void aKeptConnectionIsUsedAgain() throws Exception {
+    for (int i = 0; i < 5; i++) {
+      assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+    }
+    assertThat(connections).hasSize(1);
+  }
+
+  @Test
+  void callsThatWantConnectionsOfTheirOwnDoNotUseUpTheLimit() throws Exception {
+    for (int i = 0; i < 5 * LIMIT; i++) {
+      assertThat(call("/a", ConnectionReuse.NONE)).isEqualTo("ok");
+    }
+    assertThat(connections).hasSize(5 * LIMIT);
+  }
+
+  @Test
+  void aRestingConnectionGivesWayToOneThatIsNeeded() throws Exception {
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+    start("/never", ConnectionReuse.NONE);
+
+    assertThat(call("/a", ConnectionReuse.NONE)).isEqualTo("ok");
+  }
+
+  @Test
+  void aboveTheLimitACallFailsWithoutHavingBeenSent() throws Exception {
+    for (int i = 0; i < LIMIT; i++) {
+      start("/never", ConnectionReuse.ANY);
+    }
+
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo(CallFailure.NO_CONNECTION_FREE.name());
+  }
+
+  @Test
+  void aDeadPortFailsWithoutHavingBeenSent() throws Exception {
+    server.disposeNow();
+
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo(CallFailure.NOT_CONNECTED.name());
+  }
+
+  private String call(String uri, ConnectionReuse reuse) throws InterruptedException {
+    start(uri, reuse);
+    return outcomes.poll(20, TimeUnit.SECONDS);
+  }
+
+  private void start(String uri, ConnectionReuse reuse) throws InterruptedException {
+    UpstreamRecord target =
+        new UpstreamRecord("id", "service", "127.0.0.1", server.port(), "zone", 1, false);
+    OutgoingRequest request =
+        new OutgoingRequest(
+            HttpMethod.GET,
+            uri,
+            new DefaultHttpHeaders().set("Host", "a"),
+            new byte[0],
+            Optional.empty(),
+            reuse);
+    loop.submit(() -> caller.call(target, request, new Recorder())).sync();
+  }
+
+  private final class Recorder implements CallListener {
+
+    private final StringBuilder body = new StringBuilder();
+
+    @Override
+    public void onHead(int status, HttpHeaders headers) {}
+
+    @Override
+    public void onContent(ByteBuf content) {
+      body.append(content.toString(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onComplete() {
+      outcomes.add(body.toString());
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {
+      outcomes.add(failure.name());
+    }
+  }
+}
