--- a/gradeledge-box/src/main/java/org/gradeledge/box/Main.java
+++ b/gradeledge-box/src/main/java/org/gradeledge/box/Main.java
@@ -23,6 +23,7 @@
       HistoryCommand.class,
       AuditCommand.class,
       DrainCommand.class,
+      ExplainCommand.class,
       AutoComplete.GenerateCompletion.class
     },
     exitCodeListHeading = "%nExit codes:%n",
