--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -132,6 +132,7 @@
     if (chosen.isEmpty()) {
       return false;
     }
+    chosen.forEach(piece -> piece.group().settleIn(target.upstream().zone()));
     BatchCall call = new BatchCall(target, chosen, now, this);
     double expected = target.expectedMillis(limits, chosen.size());
     target.started(call.resultBytes(), expected, now);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -12,7 +12,6 @@
 
   private static final double SLOW_EXCUSE = 1.15;
   private static final double ROOM_USED = 0.85;
-  private static final double PATIENCE_OF_CALL = 0.75;
   private static final double HURRY_CALLS = 2;
 
   private final String service;
@@ -77,7 +76,7 @@
   boolean suits(BatchUpstream target, GroupInProgress group, BatchLimits limits, long now) {
     return group.zone().isEmpty()
         || group.zone().equals(target.upstream().zone())
-        || group.waitedMillis(now) >= limits.callMillis() * PATIENCE_OF_CALL
+        || group.waitedMillis(now) >= group.patienceMillis()
         || !group.inTimeAfter(limits.expectedMillis(1) * HURRY_CALLS, now)
         || usable().stream().noneMatch(each -> each.upstream().zone().equals(group.zone()));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -10,9 +10,11 @@
 final class GroupInProgress {
 
   private static final long PRIORITY_NANOS = 400_000_000L;
+  private static final long WORTH_WAITING_BYTES = 200_000;
+  private static final double PATIENCE = 0.35;
 
   private final StageGroup group;
-  private final String zone;
+  private String zone;
   private final long startNanos;
   private final String box;
   private final Consumer<StageGroupResult> listener;
@@ -48,6 +50,22 @@
     return zone;
   }
 
+  /** Notes where a piece is made, so that the others are made nearby. */
+  void settleIn(String firstZone) {
+    if (zone.isEmpty()) {
+      zone = firstZone;
+    }
+  }
+
+  /**
+   * Returns how long the pieces may wait for an upstream of the zone: a part of the time there is,
+   * where many bytes would cross zones otherwise.
+   */
+  long patienceMillis() {
+    long bytes = group.pieces() * Math.max(group.inputBytes(), group.resultBytes());
+    return bytes < WORTH_WAITING_BYTES ? 0 : (long) (group.dueMillis() * PATIENCE);
+  }
+
   long waitedMillis(long nowNanos) {
     return (nowNanos - startNanos) / 1_000_000;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
@@ -12,8 +12,9 @@
  * @param pieces how many pieces
  * @param key what the first stages work from, absent where there are inputs
  * @param inputs results of earlier stages
+ * @param inputBytes about how large all inputs together are; each piece takes all of them
  * @param resultBytes about how large one result is
- * @param zone zone that the results are wanted in
+ * @param zone zone that the results are wanted in, empty where that does not matter
  * @param priority 0 is the most urgent
  * @param dueMillis time left until the results come late for the request's target, may be negative
  * @param remainingMillis time left until they are worth nothing
@@ -28,6 +29,7 @@
     int pieces,
     Optional<String> key,
     List<String> inputs,
+    long inputBytes,
     long resultBytes,
     String zone,
     int priority,
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -116,6 +116,12 @@
     return stage < request.pieces().size() ? request.pieces().get(stage) : 0;
   }
 
+  private long inputBytes(int stage) {
+    return stages.get(stage).after().stream()
+        .mapToLong(before -> pieces(before) * stages.get(before).resultBytes())
+        .sum();
+  }
+
   private boolean ready(int stage) {
     return stages.get(stage).after().stream()
         .allMatch(before -> !wanted(before) || results.containsKey(before));
@@ -135,8 +141,9 @@
             pieces(stage),
             work.after().isEmpty() ? request.pieceKey() : Optional.empty(),
             inputs,
+            inputBytes(stage),
             work.resultBytes(),
-            zone,
+            isTaken(stage) ? "" : zone,
             priority,
             due,
             clock.leftMillis(),
