A request that would come late behind a later stage's queue is refused before anything is done

Ruled out: room (10 pieces), broken calls (4), restarts (no peer lost after them). Change: boxes tell in heartbeats how long what waits at them keeps each service busy; a request whose stages, each behind its queue, cannot be in time is refused at once with the time to come back.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -73,9 +74,10 @@
     queues.values().forEach(queue -> queue.freed(handles));
   }
 
-  /** Returns how many pieces wait for a service. */
-  public int waitingPieces(String service) {
-    return Optional.ofNullable(queues.get(service)).map(BatchQueue::waitingPieces).orElse(0);
+  /** Returns how long what waits here keeps each service busy, in milliseconds. */
+  public Map<String, Long> backlogMillis() {
+    return queues.entrySet().stream()
+        .collect(Collectors.toMap(Map.Entry::getKey, each -> each.getValue().backlogMillis()));
   }
 
   private BatchQueue queue(String service) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -81,8 +81,15 @@
     dispatch();
   }
 
-  int waitingPieces() {
-    return waiting.size();
+  /** Returns about how long the pieces that can still be in time keep the upstreams busy. */
+  long backlogMillis() {
+    return services.limits(service).map(this::backlogMillis).orElse(0L);
+  }
+
+  private long backlogMillis(BatchLimits limits) {
+    long now = services.clock().nanos();
+    long pieces = waiting.inTime(limits.expectedMillis(1), now);
+    return (long) upstreams.backlogMillis(limits, pieces, now);
   }
 
   /** Makes calls as long as there are pieces and upstreams that are free. */
@@ -264,12 +271,6 @@
 
   private void end(GroupInProgress group, StageOutcome outcome) {
     services.free(group.leftOver());
-    long now = services.clock().nanos();
-    long comeBack =
-        services
-            .limits(service)
-            .map(limits -> (long) upstreams.backlogMillis(limits, waiting.size(), now))
-            .orElse(0L);
-    group.fail(outcome, comeBack);
+    group.fail(outcome, backlogMillis());
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
@@ -14,6 +14,9 @@
   /** Starts the work on a group; the listener hears once how it ended, unless it is cancelled. */
   void submit(StageGroup group, Consumer<StageGroupResult> listener);
 
+  /** Returns about how long what waits for a service keeps its upstreams busy. */
+  long backlogMillis(String service);
+
   /** Returns the zone that a result lies in. */
   Optional<String> zoneOf(String handle);
 
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -39,6 +39,11 @@
         .count();
   }
 
+  /** Returns how many pieces can still be in time; a call takes so many milliseconds. */
+  long inTime(double callMillis, long now) {
+    return pieces.stream().filter(piece -> piece.group().inTimeAfter(callMillis, now)).count();
+  }
+
   /** Drops the pieces of a request without telling anybody. */
   void cancel(String requestId) {
     pieces.stream()
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.gradeledge.batch.BatchCoordinator;
 import org.gradeledge.batch.StageGroup;
@@ -53,6 +54,8 @@
   private final PeerBoard peers;
   private final Set<String> known = new HashSet<>();
   private final Collection<String> seeds;
+  private Supplier<Map<String, Long>> backlogs = Map::of;
+  private BiConsumer<String, Map<String, Long>> onBacklogs = (box, backlog) -> {};
   private boolean learningConfiguration;
   private boolean learningUpstreams;
   private boolean leaving;
@@ -95,8 +98,10 @@
     network.register(
         MeshMessages.STAGE_FREE,
         (from, message) -> done(() -> coordinator.free(message.handles())));
+    backlogs = coordinator::backlogMillis;
     MeshStageWorkClient client = new MeshStageWorkClient(self, network, peers, coordinator, loop);
     peers.onLost(client::lost);
+    onBacklogs = client::heardBacklogs;
     return client;
   }
 
@@ -150,12 +155,14 @@
             deployments.revision(),
             upstreams.changedAt(),
             List.copyOf(peers.alive()),
-            board.ownShares()));
+            board.ownShares(),
+            backlogs.get()));
   }
 
   private void heard(String box, Heartbeat beat) {
     peers.heard(box, beat.leaving());
     board.setPeerShares(box, beat.shares());
+    onBacklogs.accept(box, beat.backlogMillis());
     known.add(box);
     beat.boxes().stream().filter(other -> !other.equals(self)).forEach(known::add);
     if (beat.configuration() > deployments.revision()) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -12,10 +12,12 @@
  * @param upstreams revision at which its list of upstreams last said something new
  * @param boxes addresses of the boxes that it hears
  * @param shares what it has under way, by upstream
+ * @param backlogMillis how long the stage work that waits at it keeps each service busy
  */
 record Heartbeat(
     boolean leaving,
     long configuration,
     long upstreams,
     List<String> boxes,
-    Map<String, LoadShare> shares) {}
+    Map<String, LoadShare> shares,
+    Map<String, Long> backlogMillis) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -31,6 +31,7 @@
   private final EventLoop loop;
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
+  private final Map<String, Map<String, Long>> toldBacklogs = new HashMap<>();
 
   /** A group that another box works on. */
   private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
@@ -88,11 +89,25 @@
 
   /** Does the work itself that a box had which is not heard any more. */
   void lost(String box) {
+    toldBacklogs.remove(box);
     Set.copyOf(placed.entrySet()).stream()
         .filter(entry -> entry.getValue().equals(box))
         .forEach(entry -> takeOver(entry.getKey()));
   }
 
+  @Override
+  public long backlogMillis(String service) {
+    String box = coordinator(service);
+    Map<String, Long> told =
+        box.equals(self) ? local.backlogMillis() : toldBacklogs.getOrDefault(box, Map.of());
+    return told.getOrDefault(service, 0L);
+  }
+
+  /** Takes in what a box tells of the work that waits at it. */
+  void heardBacklogs(String box, Map<String, Long> backlogMillis) {
+    toldBacklogs.put(box, backlogMillis);
+  }
+
   @Override
   public Optional<String> zoneOf(String handle) {
     return local.zoneOf(handle);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -28,7 +28,7 @@
   private static final double MOST_OF_TIME_WAITED = 0.4;
 
   private final RelayRequest request;
-  private final Deployment deployment;
+  private final StageEstimate estimate;
   private final List<StageWork> stages;
   private final StageWorkClient client;
   private final RequestClock clock;
@@ -52,19 +52,28 @@
       String zone,
       double firstEventMillis) {
     this.request = request;
-    this.deployment = deployment;
     this.stages = route.stages();
     this.client = client;
     this.clock = clock;
     this.priority = priority;
     this.zone = zone;
     this.firstEventMillis = firstEventMillis;
+    this.estimate = new StageEstimate(request.pieces(), stages, deployment, client);
   }
 
-  /** Starts the work; exactly one of the two is called, unless the plan is cancelled. */
+  /**
+   * Starts the work; exactly one of the two is called, unless the plan is cancelled. It fails at
+   * once where the request would come late behind what waits for its services.
+   */
   void start(Consumer<List<String>> done, BiConsumer<Integer, StageGroupResult> failed) {
     onDone = done;
     onFailure = failed;
+    if (estimate.expectedMillis() > clock.targetLeftMillis() - firstEventMillis) {
+      over = true;
+      long comeBack = estimate.longestBacklogMillis();
+      failed.accept(0, new StageGroupResult(StageOutcome.LATE, List.of(), "", comeBack));
+      return;
+    }
     startReady();
   }
 
@@ -132,7 +141,7 @@
     running.add(stage);
     List<String> inputs = new ArrayList<>();
     work.after().forEach(before -> inputs.addAll(results.getOrDefault(before, List.of())));
-    long due = clock.targetLeftMillis() - (long) (tail(stage) + firstEventMillis);
+    long due = clock.targetLeftMillis() - (long) (estimate.tailMillis(stage) + firstEventMillis);
     StageGroup group =
         new StageGroup(
             work.service(),
@@ -152,25 +161,6 @@
     client.submit(group, result -> ended(stage, result));
   }
 
-  /** Returns about how long the stages after a stage take where nothing waits. */
-  private double tail(int stage) {
-    double longest = 0;
-    for (int next = stage + 1; next < stages.size(); next++) {
-      if (wanted(next) && stages.get(next).after().contains(stage)) {
-        longest = Math.max(longest, callMillis(next) + tail(next));
-      }
-    }
-    return longest;
-  }
-
-  private double callMillis(int stage) {
-    return deployment
-        .service(stages.get(stage).service())
-        .flatMap(service -> service.batch())
-        .map(batch -> batch.expectedMillis(Math.min(pieces(stage), batch.itemsPerCall())))
-        .orElse(0.0);
-  }
-
   private void ended(int stage, StageGroupResult result) {
     running.remove(stage);
     if (over) {
