What waits less urgently does not refuse the more urgent

Change: backlogs are told by priority; a request is refused only where it would be 15% over its target. Test: StagePlanTests.whatWaitsLessUrgentlyDoesNotCount.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -26,6 +27,8 @@
  */
 public final class BatchCoordinator {
 
+  private static final int PRIORITIES = 4;
+
   private final EventLoop loop;
   private final BatchServices services;
   private final ResultRelease release;
@@ -74,10 +77,17 @@
     queues.values().forEach(queue -> queue.freed(handles));
   }
 
-  /** Returns how long what waits here keeps each service busy, in milliseconds. */
-  public Map<String, Long> backlogMillis() {
+  /**
+   * Returns how long what waits here keeps each service busy, in milliseconds: for each priority
+   * from 0 what is as urgent or more.
+   */
+  public Map<String, List<Long>> backlogMillis() {
     return queues.entrySet().stream()
-        .collect(Collectors.toMap(Map.Entry::getKey, each -> each.getValue().backlogMillis()));
+        .collect(Collectors.toMap(Map.Entry::getKey, each -> byPriority(each.getValue())));
+  }
+
+  private static List<Long> byPriority(BatchQueue queue) {
+    return IntStream.range(0, PRIORITIES).mapToObj(queue::backlogMillis).toList();
   }
 
   private BatchQueue queue(String service) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -81,14 +81,17 @@
     dispatch();
   }
 
-  /** Returns about how long the pieces that can still be in time keep the upstreams busy. */
-  long backlogMillis() {
-    return services.limits(service).map(this::backlogMillis).orElse(0L);
+  /**
+   * Returns about how long the pieces that can still be in time, and are as urgent as a priority or
+   * more, keep the upstreams busy.
+   */
+  long backlogMillis(int priority) {
+    return services.limits(service).map(limits -> backlogMillis(limits, priority)).orElse(0L);
   }
 
-  private long backlogMillis(BatchLimits limits) {
+  private long backlogMillis(BatchLimits limits, int priority) {
     long now = services.clock().nanos();
-    long pieces = waiting.inTime(limits.expectedMillis(1), now);
+    long pieces = waiting.inTime(priority, limits.expectedMillis(1), now);
     return (long) upstreams.backlogMillis(limits, pieces, now);
   }
 
@@ -271,6 +274,6 @@
 
   private void end(GroupInProgress group, StageOutcome outcome) {
     services.free(group.leftOver());
-    group.fail(outcome, backlogMillis());
+    group.fail(outcome, backlogMillis(group.group().priority()));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
@@ -14,8 +14,11 @@
   /** Starts the work on a group; the listener hears once how it ended, unless it is cancelled. */
   void submit(StageGroup group, Consumer<StageGroupResult> listener);
 
-  /** Returns about how long what waits for a service keeps its upstreams busy. */
-  long backlogMillis(String service);
+  /**
+   * Returns about how long what waits for a service, as urgent as a priority or more, keeps its
+   * upstreams busy.
+   */
+  long backlogMillis(String service, int priority);
 
   /** Returns the zone that a result lies in. */
   Optional<String> zoneOf(String handle);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -39,9 +39,15 @@
         .count();
   }
 
-  /** Returns how many pieces can still be in time; a call takes so many milliseconds. */
-  long inTime(double callMillis, long now) {
-    return pieces.stream().filter(piece -> piece.group().inTimeAfter(callMillis, now)).count();
+  /**
+   * Returns how many pieces can still be in time and are as urgent as a priority or more; a call
+   * takes so many milliseconds.
+   */
+  long inTime(int priority, double callMillis, long now) {
+    return pieces.stream()
+        .filter(piece -> piece.group().group().priority() <= priority)
+        .filter(piece -> piece.group().inTimeAfter(callMillis, now))
+        .count();
   }
 
   /** Drops the pieces of a request without telling anybody. */
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -54,8 +54,8 @@
   private final PeerBoard peers;
   private final Set<String> known = new HashSet<>();
   private final Collection<String> seeds;
-  private Supplier<Map<String, Long>> backlogs = Map::of;
-  private BiConsumer<String, Map<String, Long>> onBacklogs = (box, backlog) -> {};
+  private Supplier<Map<String, List<Long>>> backlogs = Map::of;
+  private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
   private boolean learningConfiguration;
   private boolean learningUpstreams;
   private boolean leaving;
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -12,7 +12,8 @@
  * @param upstreams revision at which its list of upstreams last said something new
  * @param boxes addresses of the boxes that it hears
  * @param shares what it has under way, by upstream
- * @param backlogMillis how long the stage work that waits at it keeps each service busy
+ * @param backlogMillis how long the stage work that waits at it keeps each service busy, for each
+ *     priority what is as urgent or more
  */
 record Heartbeat(
     boolean leaving,
@@ -20,4 +21,4 @@
     long upstreams,
     List<String> boxes,
     Map<String, LoadShare> shares,
-    Map<String, Long> backlogMillis) {}
+    Map<String, List<Long>> backlogMillis) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -31,7 +31,7 @@
   private final EventLoop loop;
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
-  private final Map<String, Map<String, Long>> toldBacklogs = new HashMap<>();
+  private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
 
   /** A group that another box works on. */
   private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
@@ -96,15 +96,16 @@
   }
 
   @Override
-  public long backlogMillis(String service) {
+  public long backlogMillis(String service, int priority) {
     String box = coordinator(service);
-    Map<String, Long> told =
+    Map<String, List<Long>> told =
         box.equals(self) ? local.backlogMillis() : toldBacklogs.getOrDefault(box, Map.of());
-    return told.getOrDefault(service, 0L);
+    List<Long> byPriority = told.getOrDefault(service, List.of());
+    return byPriority.isEmpty() ? 0 : byPriority.get(Math.min(priority, byPriority.size() - 1));
   }
 
   /** Takes in what a box tells of the work that waits at it. */
-  void heardBacklogs(String box, Map<String, Long> backlogMillis) {
+  void heardBacklogs(String box, Map<String, List<Long>> backlogMillis) {
     toldBacklogs.put(box, backlogMillis);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StageEstimate.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StageEstimate.java
@@ -14,13 +14,19 @@
   private final List<StageWork> stages;
   private final Deployment deployment;
   private final StageWorkClient client;
+  private final int priority;
 
   StageEstimate(
-      List<Integer> pieces, List<StageWork> stages, Deployment deployment, StageWorkClient client) {
+      List<Integer> pieces,
+      List<StageWork> stages,
+      Deployment deployment,
+      StageWorkClient client,
+      int priority) {
     this.pieces = pieces;
     this.stages = stages;
     this.deployment = deployment;
     this.client = client;
+    this.priority = priority;
   }
 
   /** Returns about how long all of it takes behind what waits for its services now. */
@@ -42,7 +48,7 @@
   /** Returns the longest backlog among the services of the stages. */
   long longestBacklogMillis() {
     return stages.stream()
-        .mapToLong(stage -> client.backlogMillis(stage.service()))
+        .mapToLong(stage -> client.backlogMillis(stage.service(), priority))
         .max()
         .orElse(0);
   }
@@ -58,7 +64,7 @@
   }
 
   private double queuedMillis(int stage) {
-    return client.backlogMillis(stages.get(stage).service()) + callMillis(stage);
+    return client.backlogMillis(stages.get(stage).service(), priority) + callMillis(stage);
   }
 
   private double callMillis(int stage) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -27,6 +27,9 @@
   private static final int MOST_REPEATS = 2;
   private static final double MOST_OF_TIME_WAITED = 0.4;
 
+  /** Estimates are rough, and a late answer is worth more than none. */
+  private static final double TOLERANCE = 1.15;
+
   private final RelayRequest request;
   private final StageEstimate estimate;
   private final List<StageWork> stages;
@@ -58,7 +61,7 @@
     this.priority = priority;
     this.zone = zone;
     this.firstEventMillis = firstEventMillis;
-    this.estimate = new StageEstimate(request.pieces(), stages, deployment, client);
+    this.estimate = new StageEstimate(request.pieces(), stages, deployment, client, priority);
   }
 
   /**
@@ -68,7 +71,7 @@
   void start(Consumer<List<String>> done, BiConsumer<Integer, StageGroupResult> failed) {
     onDone = done;
     onFailure = failed;
-    if (estimate.expectedMillis() > clock.targetLeftMillis() - firstEventMillis) {
+    if (estimate.expectedMillis() + firstEventMillis > clock.targetLeftMillis() * TOLERANCE) {
       over = true;
       long comeBack = estimate.longestBacklogMillis();
       failed.accept(0, new StageGroupResult(StageOutcome.LATE, List.of(), "", comeBack));
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
@@ -107,6 +107,15 @@
     assertThat(client.groups).isEmpty();
   }
 
+  @Test
+  void whatWaitsLessUrgentlyDoesNotCount() {
+    client.backlogs.put("b", 5_000L);
+
+    start(0, new Integer[] {0, 1, 1});
+
+    assertThat(client.stages()).containsExactly(1);
+  }
+
   @Test
   void aCancelledPlanGivesUpWhatComesAfterwards() {
     StagePlan plan = start(1, 1, 1);
@@ -118,6 +127,10 @@
   }
 
   private StagePlan start(Integer... pieces) {
+    return start(1, pieces);
+  }
+
+  private StagePlan start(int priority, Integer[] pieces) {
     RouteDefinition route = Deployments.route("host", "/", Repeatability.RESUMABLE_STREAM, STAGES);
     RelayRequest request =
         new RelayRequest(
@@ -137,7 +150,8 @@
             Optional.of("key"));
     RequestClock clock = new RequestClock(() -> 0, 4_000, 2_000);
     StagePlan plan =
-        new StagePlan(request, Deployments.of(1, route), route, client, clock, 1, "zone", 100);
+        new StagePlan(
+            request, Deployments.of(1, route), route, client, clock, priority, "zone", 100);
     plan.start(
         handles -> outcomes.add("done " + handles),
         (stage, result) -> outcomes.add("failed " + stage + " " + result.outcome()));
@@ -175,8 +189,8 @@
     }
 
     @Override
-    public long backlogMillis(String service) {
-      return backlogs.getOrDefault(service, 0L);
+    public long backlogMillis(String service, int priority) {
+      return priority == 0 ? 0 : backlogs.getOrDefault(service, 0L);
     }
 
     @Override
