Parts that nobody calls are taken out

Cause: read again as a whole, the follower's stop and its two questions, the registry's search by id and the protocol's answer id were left from earlier forms. The answer id is made in one place, and a request without an id has none. Checked: 46 tests of the parts touched, architecture rules, formatter and linter; green.

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -69,11 +69,6 @@
     return known != null && !known.leaving();
   }
 
-  /** Returns an upstream by its id. */
-  public Optional<UpstreamRecord> find(String id) {
-    return Optional.ofNullable(byId.get(id));
-  }
-
   /** Returns the upstream that has an address. */
   public Optional<UpstreamRecord> atAddress(String address) {
     return Optional.ofNullable(byAddress.get(address));
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -31,9 +31,7 @@
   private final Supplier<Duration> pause;
   private long revision = -1;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
-  private long answeredNanos = System.nanoTime();
   private boolean lost;
-  private boolean stopped;
 
   /**
    * Creates a follower that does nothing yet.
@@ -63,25 +61,7 @@
     next();
   }
 
-  /** Stops following after the call that is under way. */
-  public void stop() {
-    stopped = true;
-  }
-
-  /** Returns for how long the table has not answered. */
-  public long silentMillis() {
-    return (System.nanoTime() - answeredNanos) / 1_000_000;
-  }
-
-  /** Returns whether the last call failed. */
-  public boolean isLost() {
-    return lost;
-  }
-
   private void next() {
-    if (stopped) {
-      return;
-    }
     if (revision < 0) {
       subscribe(table.read(), this::take);
     } else {
@@ -96,7 +76,6 @@
   }
 
   private <T> void answered(T answer, Consumer<T> taker) {
-    answeredNanos = System.nanoTime();
     backoffMillis = FIRST_BACKOFF_MILLIS;
     if (lost) {
       lost = false;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayProtocol.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayProtocol.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Either;
-import org.gradeledge.connection.AnswerId;
 import org.gradeledge.connection.ConnectionReuse;
 import org.gradeledge.connection.OutgoingRequest;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -24,7 +23,4 @@
 
   /** Returns what the head of an answer tells. */
   AnswerFacts readAnswer(int status, HttpHeaders headers);
-
-  /** Returns the id that an answer to a request carries. */
-  AnswerId answerId(RelayRequest request);
 }
