Stand-ins end their open connections when they are closed

Cause: closing a stand-in only ended its listening socket. A connection that the box had opened before, to ask for the load, was still answered, so whether the engine was really gone depended on whether the box had asked by then. Ruled out: the box saying something untrue (the answer was the engine's own). All stand-ins close through StandInServer.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/engine/EngineStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/engine/EngineStandIn.java
@@ -11,12 +11,12 @@
 import java.util.function.Function;
 import org.gradeledge.standin.FaultSwitch;
 import org.gradeledge.standin.StandInHttp;
+import org.gradeledge.standin.StandInServer;
 import org.gradeledge.upstream.LoadReport;
 import org.gradeledge.upstream.UpstreamHeaders;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -39,7 +39,7 @@
   private final FaultSwitch<EngineFault> faults = new FaultSwitch<>(EngineFault.NONE);
   private final AtomicLong reports = new AtomicLong();
   private final AtomicLong dispatchedAfterLeave = new AtomicLong();
-  private final DisposableServer server;
+  private final StandInServer server;
   private volatile boolean leaving;
   private volatile long incarnation = 1;
 
@@ -48,7 +48,8 @@
     this.model = model;
     this.slots = new SlotQueue(model.slots());
     this.log = log;
-    this.server = HttpServer.create().host("127.0.0.1").port(port).route(this::routes).bindNow();
+    this.server =
+        StandInServer.listen(HttpServer.create().host("127.0.0.1").port(port).route(this::routes));
   }
 
   /** Returns its port. */
@@ -79,7 +80,7 @@
 
   /** Stops. */
   public void close() {
-    server.disposeNow();
+    server.close();
   }
 
   private void routes(HttpServerRoutes routes) {
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
@@ -13,9 +13,9 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.gradeledge.standin.StandInHttp;
+import org.gradeledge.standin.StandInServer;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -32,18 +32,18 @@
   private record Row(String key, byte[] value, long version, boolean gone) {}
 
   private final Map<String, Map<String, Row>> tables = new TreeMap<>();
-  private final DisposableServer server;
+  private final StandInServer server;
   private volatile StoreFault fault = StoreFault.NONE;
   private long version;
 
   /** Starts the store on a free port. */
   public StoreStandIn() {
     server =
-        HttpServer.create()
-            .host(HOST)
-            .port(0)
-            .route(routes -> routes.get("/rows-get", this::get).get("/rows-feed", this::feed))
-            .bindNow();
+        StandInServer.listen(
+            HttpServer.create()
+                .host(HOST)
+                .port(0)
+                .route(routes -> routes.get("/rows-get", this::get).get("/rows-feed", this::feed)));
   }
 
   /** Returns where it listens. */
@@ -133,6 +133,6 @@
 
   @Override
   public void close() {
-    server.disposeNow();
+    server.close();
   }
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/platform/PlatformStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/platform/PlatformStandIn.java
@@ -13,11 +13,11 @@
 import org.gradeledge.platform.TableTransaction;
 import org.gradeledge.standin.FaultSwitch;
 import org.gradeledge.standin.StandInHttp;
+import org.gradeledge.standin.StandInServer;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -46,15 +46,17 @@
   private final FaultSwitch<PlatformFault> objectFault = off();
   private final FaultSwitch<PlatformFault> listFault = off();
   private final HttpClient looks = HttpClient.newConnection();
-  private final DisposableServer server;
-  private final DisposableServer admin;
+  private final StandInServer server;
+  private final StandInServer admin;
   private final Disposable looking;
 
   /** Starts on the given ports of the loopback interface, 0 for any. */
   public PlatformStandIn(int port, int adminPort) {
-    this.server = HttpServer.create().host("127.0.0.1").port(port).route(this::routes).bindNow();
+    this.server =
+        StandInServer.listen(HttpServer.create().host("127.0.0.1").port(port).route(this::routes));
     this.admin =
-        HttpServer.create().host("127.0.0.1").port(adminPort).route(this::adminRoutes).bindNow();
+        StandInServer.listen(
+            HttpServer.create().host("127.0.0.1").port(adminPort).route(this::adminRoutes));
     this.looking =
         Flux.interval(LOOK_PERIOD)
             .onBackpressureDrop()
@@ -102,8 +104,8 @@
   /** Stops. */
   public void close() {
     looking.dispose();
-    server.disposeNow();
-    admin.disposeNow();
+    server.close();
+    admin.close();
   }
 
   private void routes(HttpServerRoutes routes) {
