Admission counts the work that is on its way to later stages; a stage with time is started later

Ruled out: too few calls filled (calls of busy services are full); wrong call times. Change: boxes tell in heartbeats which pieces their admitted requests will want (PiecesToCome); the backlog counts them, and an estimate lets a later queue be worked off while earlier stages run. A stage that no other takes waits until what is left of the others is about as long as itself (StagePlan.canWait). Nothing is started once a stage was refused at once. StageResults and PieceRetries are split off.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -27,8 +27,6 @@
  */
 public final class BatchCoordinator {
 
-  private static final int PRIORITIES = 4;
-
   private final EventLoop loop;
   private final BatchServices services;
   private final ResultRelease release;
@@ -48,6 +46,7 @@
             builder.caller,
             builder.protocol,
             builder.events,
+            builder.toCome,
             builder.limits,
             this::free);
     builder.upstreams.onEnd(upstream -> queue(upstream.service()).dispatch());
@@ -78,8 +77,8 @@
   }
 
   /**
-   * Returns how long what waits here keeps each service busy, in milliseconds: for each priority
-   * from 0 what is as urgent or more.
+   * Returns how long what waits here or is on its way keeps each service busy, in milliseconds: for
+   * each priority from 0 what is as urgent or more.
    */
   public Map<String, List<Long>> backlogMillis() {
     return queues.entrySet().stream()
@@ -87,7 +86,7 @@
   }
 
   private static List<Long> byPriority(BatchQueue queue) {
-    return IntStream.range(0, PRIORITIES).mapToObj(queue::backlogMillis).toList();
+    return IntStream.range(0, PiecesToCome.PRIORITIES).mapToObj(queue::backlogMillis).toList();
   }
 
   private BatchQueue queue(String service) {
@@ -99,7 +98,7 @@
     return new Builder();
   }
 
-  /** Builds a coordinator; every part must be given. */
+  /** Builds a coordinator; every part must be given but for the pieces to come. */
   public static final class Builder {
 
     private String box;
@@ -111,6 +110,7 @@
     private UpstreamCaller caller;
     private StageProtocol protocol;
     private EventLog events;
+    private PiecesToCome toCome = new PiecesToCome();
     private Function<String, Optional<BatchLimits>> limits;
 
     private Builder() {}
@@ -146,6 +146,12 @@
       return this;
     }
 
+    /** Sets the pieces that are on their way, none if not given. */
+    public Builder toCome(PiecesToCome piecesToCome) {
+      this.toCome = piecesToCome;
+      return this;
+    }
+
     /** Returns the coordinator. */
     public BatchCoordinator build() {
       return new BatchCoordinator(this);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -31,6 +31,7 @@
   private final WaitingPieces waiting = new WaitingPieces();
   private final HeldResults held;
   private final BatchUpstreams upstreams;
+  private final PieceRetries retries;
   private boolean lookingAgain;
 
   BatchQueue(String service, BatchServices services, EventLoop loop) {
@@ -39,6 +40,7 @@
     this.loop = loop;
     this.held = new HeldResults(services.clock());
     this.upstreams = new BatchUpstreams(service, services, held);
+    this.retries = new PieceRetries(service, services);
   }
 
   void submit(StageGroup group, Consumer<StageGroupResult> listener) {
@@ -82,8 +84,8 @@
   }
 
   /**
-   * Returns about how long the pieces that can still be in time, and are as urgent as a priority or
-   * more, keep the upstreams busy.
+   * Returns about how long the pieces that can still be in time or are on their way, and are as
+   * urgent as a priority or more, keep the upstreams busy.
    */
   long backlogMillis(int priority) {
     return services.limits(service).map(limits -> backlogMillis(limits, priority)).orElse(0L);
@@ -91,7 +93,9 @@
 
   private long backlogMillis(BatchLimits limits, int priority) {
     long now = services.clock().nanos();
-    long pieces = waiting.inTime(priority, limits.expectedMillis(1), now);
+    long pieces =
+        waiting.inTime(priority, limits.expectedMillis(1), now)
+            + services.toCome().total(service, priority);
     return (long) upstreams.backlogMillis(limits, pieces, now);
   }
 
@@ -249,29 +253,13 @@
 
   private void tryAgain(List<StagePiece> pieces, boolean sent, String why, UpstreamRecord from) {
     List<StagePiece> wanted = pieces.stream().filter(piece -> !piece.group().isOver()).toList();
-    boolean allowed = !sent || services.budget().trySpend(service, wanted.size());
-    services
-        .events()
-        .problem("pieces-failed")
-        .with("service", service)
-        .with("upstream", from.id())
-        .with("why", why)
-        .with("pieces", wanted.size())
-        .with("again", allowed ? "yes" : "no, retry budget spent")
-        .with("requests", requestIds(wanted))
-        .write();
-    if (allowed) {
+    if (retries.allowed(wanted, sent, why, from)) {
       waiting.addAll(wanted);
     } else {
       wanted.forEach(piece -> end(piece.group(), StageOutcome.FAILED));
     }
   }
 
-  private static String requestIds(List<StagePiece> pieces) {
-    return String.join(
-        ",", pieces.stream().map(piece -> piece.group().group().requestId()).distinct().toList());
-  }
-
   private void end(GroupInProgress group, StageOutcome outcome) {
     services.free(group.leftOver());
     group.fail(outcome, backlogMillis(group.group().priority()));
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
@@ -19,6 +19,7 @@
  * What the queues of a box share.
  *
  * @param box name of the box
+ * @param toCome pieces that are on their way
  * @param limitsOf limits of a service's upstreams, empty where it makes no pieces
  * @param freeing gives results up
  */
@@ -31,6 +32,7 @@
     UpstreamCaller caller,
     StageProtocol protocol,
     EventLog events,
+    PiecesToCome toCome,
     Function<String, Optional<BatchLimits>> limitsOf,
     Consumer<List<String>> freeing) {
 
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
@@ -0,0 +1,76 @@
+package org.gradeledge.batch;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+/**
+ * The pieces that admitted requests will want made once their earlier stages are done: those of
+ * this box's requests, and what its peers tell of theirs. Without them the queue of a later stage
+ * looks short while the work for it is on its way. Confined to the event loop.
+ *
+ * @since 0.2
+ */
+public final class PiecesToCome {
+
+  /** Priorities that are told apart; less urgent ones count as the last. */
+  static final int PRIORITIES = 4;
+
+  private final Map<String, long[]> own = new HashMap<>();
+  private final Map<String, Map<String, List<Long>>> toldByBox = new HashMap<>();
+
+  /** Adds pieces that a request of this box will want made. */
+  public void add(String service, int priority, int pieces) {
+    own.computeIfAbsent(service, name -> new long[PRIORITIES])[level(priority)] += pieces;
+  }
+
+  /** Takes pieces out that are waiting at their service now, or are not wanted any more. */
+  public void remove(String service, int priority, int pieces) {
+    add(service, priority, -pieces);
+  }
+
+  /** Returns the pieces to come of this box's requests, by service and priority. */
+  public Map<String, List<Long>> own() {
+    Map<String, List<Long>> counts = new HashMap<>();
+    own.forEach((service, pieces) -> putIfAny(counts, service, pieces));
+    return counts;
+  }
+
+  private static void putIfAny(Map<String, List<Long>> counts, String service, long[] pieces) {
+    if (Arrays.stream(pieces).anyMatch(count -> count != 0)) {
+      counts.put(service, Arrays.stream(pieces).boxed().toList());
+    }
+  }
+
+  /** Takes the place of what a peer told of its own requests before. */
+  public void told(String box, Map<String, List<Long>> counts) {
+    toldByBox.put(box, counts);
+  }
+
+  /** Forgets what a peer told. */
+  public void forget(String box) {
+    toldByBox.remove(box);
+  }
+
+  /** Returns how many pieces as urgent as a priority or more are on their way to a service. */
+  long total(String service, int priority) {
+    long ofPeers =
+        toldByBox.values().stream()
+            .map(counts -> counts.getOrDefault(service, List.of()))
+            .mapToLong(counts -> sum(counts, priority))
+            .sum();
+    long[] pieces = own.getOrDefault(service, new long[PRIORITIES]);
+    return ofPeers + sum(Arrays.stream(pieces).boxed().toList(), priority);
+  }
+
+  private static long sum(List<Long> counts, int priority) {
+    int levels = Math.min(counts.size(), level(priority) + 1);
+    return IntStream.range(0, levels).mapToLong(counts::get).sum();
+  }
+
+  private static int level(int priority) {
+    return Math.max(0, Math.min(priority, PRIORITIES - 1));
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
@@ -15,11 +15,17 @@
   void submit(StageGroup group, Consumer<StageGroupResult> listener);
 
   /**
-   * Returns about how long what waits for a service, as urgent as a priority or more, keeps its
-   * upstreams busy.
+   * Returns about how long what waits for a service or is on its way to it, as urgent as a priority
+   * or more, keeps its upstreams busy.
    */
   long backlogMillis(String service, int priority);
 
+  /** Tells of pieces that an admitted request will want made once its earlier stages are done. */
+  void announce(String service, int priority, int pieces);
+
+  /** Takes an announcement back, as the pieces are submitted now or not wanted any more. */
+  void withdraw(String service, int priority, int pieces);
+
   /** Returns the zone that a result lies in. */
   Optional<String> zoneOf(String handle);
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -13,6 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.gradeledge.batch.BatchCoordinator;
+import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
@@ -54,6 +55,7 @@
   private final PeerBoard peers;
   private final Set<String> known = new HashSet<>();
   private final Collection<String> seeds;
+  private final PiecesToCome toCome;
   private Supplier<Map<String, List<Long>>> backlogs = Map::of;
   private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
   private boolean learningConfiguration;
@@ -74,6 +76,7 @@
       DeploymentRegistry deployments,
       UpstreamRegistry upstreams,
       LoadBoard board,
+      PiecesToCome toCome,
       MonotonicClock clock,
       EventLog events) {
     this.self = self;
@@ -82,9 +85,11 @@
     this.deployments = deployments;
     this.upstreams = upstreams;
     this.board = board;
+    this.toCome = toCome;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
     this.peers = new PeerBoard(self, clock, events);
     peers.onLost(box -> board.setPeerShares(box, Map.of()));
+    peers.onLost(toCome::forget);
     peers.onLost(network::disconnect);
   }
 
@@ -99,7 +104,8 @@
         MeshMessages.STAGE_FREE,
         (from, message) -> done(() -> coordinator.free(message.handles())));
     backlogs = coordinator::backlogMillis;
-    MeshStageWorkClient client = new MeshStageWorkClient(self, network, peers, coordinator, loop);
+    MeshStageWorkClient client =
+        new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome);
     peers.onLost(client::lost);
     onBacklogs = client::heardBacklogs;
     return client;
@@ -156,13 +162,15 @@
             upstreams.changedAt(),
             List.copyOf(peers.alive()),
             board.ownShares(),
-            backlogs.get()));
+            backlogs.get(),
+            toCome.own()));
   }
 
   private void heard(String box, Heartbeat beat) {
     peers.heard(box, beat.leaving());
     board.setPeerShares(box, beat.shares());
     onBacklogs.accept(box, beat.backlogMillis());
+    toCome.told(box, beat.piecesToCome());
     known.add(box);
     beat.boxes().stream().filter(other -> !other.equals(self)).forEach(known::add);
     if (beat.configuration() > deployments.revision()) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -14,6 +14,7 @@
  * @param shares what it has under way, by upstream
  * @param backlogMillis how long the stage work that waits at it keeps each service busy, for each
  *     priority what is as urgent or more
+ * @param piecesToCome pieces that its requests will want made, by service and priority
  */
 record Heartbeat(
     boolean leaving,
@@ -21,4 +22,5 @@
     long upstreams,
     List<String> boxes,
     Map<String, LoadShare> shares,
-    Map<String, List<Long>> backlogMillis) {}
+    Map<String, List<Long>> backlogMillis,
+    Map<String, List<Long>> piecesToCome) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.gradeledge.batch.BatchCoordinator;
+import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
@@ -29,6 +30,7 @@
   private final PeerBoard peers;
   private final BatchCoordinator local;
   private final EventLoop loop;
+  private final PiecesToCome toCome;
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
@@ -37,12 +39,18 @@
   private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
 
   MeshStageWorkClient(
-      String self, PeerNetwork network, PeerBoard peers, BatchCoordinator local, EventLoop loop) {
+      String self,
+      PeerNetwork network,
+      PeerBoard peers,
+      BatchCoordinator local,
+      EventLoop loop,
+      PiecesToCome toCome) {
     this.self = self;
     this.network = network;
     this.peers = peers;
     this.local = local;
     this.loop = loop;
+    this.toCome = toCome;
   }
 
   @Override
@@ -109,6 +117,16 @@
     toldBacklogs.put(box, backlogMillis);
   }
 
+  @Override
+  public void announce(String service, int priority, int pieces) {
+    toCome.add(service, priority, pieces);
+  }
+
+  @Override
+  public void withdraw(String service, int priority, int pieces) {
+    toCome.remove(service, priority, pieces);
+  }
+
   @Override
   public Optional<String> zoneOf(String handle) {
     return local.zoneOf(handle);
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.batch.BatchCoordinator;
+import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.connection.PooledUpstreamCaller;
 import org.gradeledge.deployment.Deployment;
@@ -59,6 +60,7 @@
   private final EventLog events;
   private final DeploymentRegistry deployments;
   private final UpstreamRegistry upstreams;
+  private final PiecesToCome toCome = new PiecesToCome();
   private final BoxMesh mesh;
   private final RelayMetrics metrics = new RelayMetrics();
   private final BoxMetrics boxMetrics = new BoxMetrics();
@@ -98,6 +100,7 @@
             .upstreams(upstreams, service -> service(service).flatMap(ServiceDefinition::batch))
             .calls(caller, adapters.stages())
             .beliefs(board, budget, events)
+            .toCome(toCome)
             .build();
     StageWorkClient stageWork = mesh.stageWork(coordinator);
     RelayServices services =
@@ -168,6 +171,7 @@
         deployments,
         upstreams,
         board,
+        toCome,
         clock,
         events);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StageEstimate.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StageEstimate.java
@@ -1,8 +1,9 @@
 package org.gradeledge.relay;
 
+import java.util.Arrays;
 import java.util.List;
-import java.util.function.IntToDoubleFunction;
 import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.ServiceDefinition;
 import org.gradeledge.deployment.StageWork;
@@ -29,52 +30,65 @@
     this.priority = priority;
   }
 
-  /** Returns about how long all of it takes behind what waits for its services now. */
+  /**
+   * Returns about how long all of it takes behind what waits for its services, or is on its way to
+   * them, now. A later stage's queue is worked off while the earlier stages are under way.
+   */
   double expectedMillis() {
-    double longest = 0;
+    double[] doneAfter = new double[stages.size()];
     for (int stage = 0; stage < stages.size(); stage++) {
-      if (wanted(stage) && stages.get(stage).after().isEmpty()) {
-        longest = Math.max(longest, queuedMillis(stage) + tail(stage, this::queuedMillis));
+      if (wanted(stage)) {
+        doneAfter[stage] = doneAfter(stage, doneAfter);
       }
     }
-    return longest;
+    return Arrays.stream(doneAfter).max().orElse(0);
   }
 
-  /** Returns about how long the stages after a stage take where nothing waits. */
-  double tailMillis(int stage) {
-    return tail(stage, this::callMillis);
+  private double doneAfter(int stage, double[] doneBefore) {
+    StageWork work = stages.get(stage);
+    double ready = work.after().stream().mapToDouble(before -> doneBefore[before]).max().orElse(0);
+    long backlog = client.backlogMillis(work.service(), priority);
+    int others = backlog > 0 ? Integer.MAX_VALUE : 0;
+    return Math.max(ready, backlog) + callMillis(stage, others);
   }
 
-  /** Returns the longest backlog among the services of the stages. */
-  long longestBacklogMillis() {
-    return stages.stream()
-        .mapToLong(stage -> client.backlogMillis(stage.service(), priority))
-        .max()
-        .orElse(0);
+  /** Returns about how long a stage takes alone behind what waits for its service now. */
+  double ownMillis(int stage) {
+    return client.backlogMillis(stages.get(stage).service(), priority) + callMillis(stage, 0);
   }
 
-  private double tail(int stage, IntToDoubleFunction millis) {
+  /** Returns about how long the stages after a stage take where nothing waits. */
+  double tailMillis(int stage) {
     double longest = 0;
     for (int next = stage + 1; next < stages.size(); next++) {
       if (wanted(next) && stages.get(next).after().contains(stage)) {
-        longest = Math.max(longest, millis.applyAsDouble(next) + tail(next, millis));
+        longest = Math.max(longest, callMillis(next, 0) + tailMillis(next));
       }
     }
     return longest;
   }
 
-  private double queuedMillis(int stage) {
-    return client.backlogMillis(stages.get(stage).service(), priority) + callMillis(stage);
+  /** Returns the longest backlog among the services of the stages. */
+  long longestBacklogMillis() {
+    return stages.stream()
+        .mapToLong(stage -> client.backlogMillis(stage.service(), priority))
+        .max()
+        .orElse(0);
   }
 
-  private double callMillis(int stage) {
+  /** Returns the time of a call for a stage's pieces and those of others, as many as fit. */
+  private double callMillis(int stage, int others) {
     return deployment
         .service(stages.get(stage).service())
         .flatMap(ServiceDefinition::batch)
-        .map(batch -> batch.expectedMillis(Math.min(pieces.get(stage), batch.itemsPerCall())))
+        .map(batch -> batch.expectedMillis(itemsOfCall(stage, others, batch)))
         .orElse(0.0);
   }
 
+  private int itemsOfCall(int stage, int others, BatchLimits batch) {
+    return (int) Math.min((long) pieces.get(stage) + others, batch.itemsPerCall());
+  }
+
   private boolean wanted(int stage) {
     return stage < pieces.size() && pieces.get(stage) > 0;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -1,7 +1,6 @@
 package org.gradeledge.relay;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +29,9 @@
   /** Estimates are rough, and a late answer is worth more than none. */
   private static final double TOLERANCE = 1.15;
 
+  /** A stage that can wait must take so much less than what is waited for. */
+  private static final double SLACK = 1.2;
+
   private final RelayRequest request;
   private final StageEstimate estimate;
   private final List<StageWork> stages;
@@ -38,8 +40,9 @@
   private final int priority;
   private final String zone;
   private final double firstEventMillis;
-  private final Map<Integer, List<String>> results = new HashMap<>();
+  private final StageResults results;
   private final Set<Integer> running = new HashSet<>();
+  private final Set<Integer> announced = new HashSet<>();
   private Consumer<List<String>> onDone = handles -> {};
   private BiConsumer<Integer, StageGroupResult> onFailure = (stage, result) -> {};
   private int repeats;
@@ -57,6 +60,7 @@
     this.request = request;
     this.stages = route.stages();
     this.client = client;
+    this.results = new StageResults(request.pieces(), stages, client);
     this.clock = clock;
     this.priority = priority;
     this.zone = zone;
@@ -77,9 +81,25 @@
       failed.accept(0, new StageGroupResult(StageOutcome.LATE, List.of(), "", comeBack));
       return;
     }
+    announceAll();
     startReady();
   }
 
+  private void announceAll() {
+    for (int stage = 0; stage < stages.size(); stage++) {
+      if (results.wanted(stage)) {
+        announced.add(stage);
+        client.announce(stages.get(stage).service(), priority, results.pieces(stage));
+      }
+    }
+  }
+
+  private void withdraw(int stage) {
+    if (announced.remove(stage)) {
+      client.withdraw(stages.get(stage).service(), priority, results.pieces(stage));
+    }
+  }
+
   /** Does all of the work again, as a result was gone before it was fetched. */
   void restart() {
     freeAll();
@@ -90,14 +110,14 @@
   /** Drops what waits and gives up what was made. */
   void cancel() {
     over = true;
+    Set.copyOf(announced).forEach(this::withdraw);
     running.forEach(stage -> client.cancel(stages.get(stage).service(), request.id()));
     freeAll();
   }
 
   /** Gives up all results, once they have been fetched or are not needed any more. */
   void freeAll() {
-    results.forEach((stage, handles) -> client.free(stages.get(stage).service(), handles));
-    results.clear();
+    results.freeAll();
   }
 
   /** Returns whether there is any stage work. */
@@ -106,56 +126,63 @@
   }
 
   private void startReady() {
-    for (int stage = 0; stage < stages.size(); stage++) {
-      if (wanted(stage)
-          && !results.containsKey(stage)
-          && !running.contains(stage)
-          && ready(stage)) {
-        startStage(stage);
-      }
-    }
+    List<Integer> startable = startable();
+    startable.stream().filter(results::isTaken).forEach(this::startStage);
+    startable.stream()
+        .filter(stage -> !results.isTaken(stage) && !running.contains(stage))
+        .filter(stage -> !canWait(stage))
+        .forEach(this::startStage);
     if (!over && running.isEmpty()) {
       over = true;
-      onDone.accept(finalResults());
+      onDone.accept(results.handedOn());
     }
   }
 
-  private boolean wanted(int stage) {
-    return pieces(stage) > 0;
+  private List<Integer> startable() {
+    return IntStream.range(0, stages.size())
+        .filter(results::wanted)
+        .filter(stage -> !results.has(stage) && !running.contains(stage))
+        .filter(results::ready)
+        .boxed()
+        .toList();
   }
 
-  private int pieces(int stage) {
-    return stage < request.pieces().size() ? request.pieces().get(stage) : 0;
+  /**
+   * Returns whether a stage is better started once what runs now is done: the stages after that
+   * take longer than it does, and its results would only take room until then.
+   */
+  private boolean canWait(int stage) {
+    double rest = running.stream().mapToDouble(estimate::tailMillis).max().orElse(0);
+    return estimate.ownMillis(stage) * SLACK < rest;
   }
 
   private long inputBytes(int stage) {
     return stages.get(stage).after().stream()
-        .mapToLong(before -> pieces(before) * stages.get(before).resultBytes())
+        .mapToLong(before -> results.pieces(before) * stages.get(before).resultBytes())
         .sum();
   }
 
-  private boolean ready(int stage) {
-    return stages.get(stage).after().stream()
-        .allMatch(before -> !wanted(before) || results.containsKey(before));
-  }
-
   private void startStage(int stage) {
+    if (over) {
+      return;
+    }
     StageWork work = stages.get(stage);
     running.add(stage);
+    withdraw(stage);
     List<String> inputs = new ArrayList<>();
-    work.after().forEach(before -> inputs.addAll(results.getOrDefault(before, List.of())));
+    work.after().forEach(before -> inputs.addAll(results.of(before)));
     long due = clock.targetLeftMillis() - (long) (estimate.tailMillis(stage) + firstEventMillis);
     StageGroup group =
         new StageGroup(
             work.service(),
             request.id(),
             stage,
-            pieces(stage),
+            results.pieces(stage),
             work.after().isEmpty() ? request.pieceKey() : Optional.empty(),
             inputs,
             inputBytes(stage),
             work.resultBytes(),
-            isTaken(stage) ? "" : zone,
+            results.isTaken(stage) ? "" : zone,
             priority,
             due,
             clock.leftMillis(),
@@ -172,11 +199,10 @@
     }
     if (result.outcome() == StageOutcome.MADE) {
       results.put(stage, result.handles());
-      freeTaken();
       startReady();
     } else if (result.outcome() == StageOutcome.GONE && repeats < MOST_REPEATS) {
       repeats++;
-      forget(stage);
+      results.forgetInputs(stage);
       startReady();
     } else {
       cancel();
@@ -184,68 +210,8 @@
     }
   }
 
-  /** Gives up the results of stages once all stages that take them are done. */
-  private void freeTaken() {
-    for (int stage = 0; stage < stages.size(); stage++) {
-      if (isTaken(stage) && takersDone(stage)) {
-        client.free(stages.get(stage).service(), results.getOrDefault(stage, List.of()));
-        results.replace(stage, List.of());
-      }
-    }
-  }
-
-  private boolean takersDone(int stage) {
-    return IntStream.range(0, stages.size())
-        .filter(later -> wanted(later) && stages.get(later).after().contains(stage))
-        .allMatch(results::containsKey);
-  }
-
   /** Returns where most of what is handed on lies, by bytes. */
   Map<String, Long> bytesByZone() {
-    Map<String, Long> bytes = new HashMap<>();
-    for (int stage = 0; stage < stages.size(); stage++) {
-      long each = stages.get(stage).resultBytes();
-      if (!isTaken(stage)) {
-        results
-            .getOrDefault(stage, List.of())
-            .forEach(
-                handle -> client.zoneOf(handle).ifPresent(at -> bytes.merge(at, each, Long::sum)));
-      }
-    }
-    return bytes;
-  }
-
-  /** Forgets the results that a stage takes, so that they are made again. */
-  private void forget(int stage) {
-    for (int before : stages.get(stage).after()) {
-      client.free(stages.get(before).service(), results.getOrDefault(before, List.of()));
-      results.remove(before);
-      if (stages.get(before).after().stream().anyMatch(earlier -> freed(earlier))) {
-        forget(before);
-      }
-    }
-  }
-
-  private boolean freed(int stage) {
-    return wanted(stage) && results.getOrDefault(stage, List.of()).isEmpty();
-  }
-
-  private List<String> finalResults() {
-    List<String> handles = new ArrayList<>();
-    for (int stage = 0; stage < stages.size(); stage++) {
-      if (wanted(stage) && !isTaken(stage)) {
-        handles.addAll(results.getOrDefault(stage, List.of()));
-      }
-    }
-    return handles;
-  }
-
-  private boolean isTaken(int stage) {
-    for (int later = 0; later < stages.size(); later++) {
-      if (wanted(later) && stages.get(later).after().contains(stage)) {
-        return true;
-      }
-    }
-    return false;
+    return results.bytesByZone();
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/FakeStageWorkClient.java
@@ -0,0 +1,90 @@
+package org.gradeledge.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.gradeledge.batch.StageGroup;
+import org.gradeledge.batch.StageGroupResult;
+import org.gradeledge.batch.StageOutcome;
+import org.gradeledge.batch.StageWorkClient;
+
+/** Keeps the groups it was given until the test ends them. */
+final class FakeStageWorkClient implements StageWorkClient {
+
+  final List<StageGroup> groups = new ArrayList<>();
+  private final Map<Integer, Consumer<StageGroupResult>> listeners = new HashMap<>();
+  final Map<String, Long> backlogs = new HashMap<>();
+  final List<String> freed = new ArrayList<>();
+  final List<String> cancelled = new ArrayList<>();
+  final Set<Integer> refusedAtOnce = new HashSet<>();
+  final Map<String, Integer> announced = new HashMap<>();
+
+  List<Integer> stages() {
+    return groups.stream().map(StageGroup::stage).toList();
+  }
+
+  void make(int stage) {
+    int pieces = groups.stream().filter(g -> g.stage() == stage).findFirst().orElseThrow().pieces();
+    List<String> handles =
+        IntStream.range(0, pieces).mapToObj(piece -> stage + "-" + piece).toList();
+    listeners.get(stage).accept(new StageGroupResult(StageOutcome.MADE, handles, "box", 0));
+  }
+
+  void end(int stage, StageOutcome outcome) {
+    listeners.get(stage).accept(new StageGroupResult(outcome, List.of(), "box", 0));
+  }
+
+  @Override
+  public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+    groups.add(group);
+    listeners.put(group.stage(), listener);
+    if (refusedAtOnce.contains(group.stage())) {
+      end(group.stage(), StageOutcome.LATE);
+    }
+  }
+
+  @Override
+  public long backlogMillis(String service, int priority) {
+    return priority == 0 ? 0 : backlogs.getOrDefault(service, 0L);
+  }
+
+  @Override
+  public void announce(String service, int priority, int pieces) {
+    count(service, pieces);
+  }
+
+  @Override
+  public void withdraw(String service, int priority, int pieces) {
+    count(service, -pieces);
+  }
+
+  @Override
+  public Optional<String> zoneOf(String handle) {
+    return Optional.empty();
+  }
+
+  @Override
+  public void cancel(String service, String requestId) {
+    cancelled.add(service);
+  }
+
+  @Override
+  public void free(String service, List<String> handles) {
+    freed.addAll(handles);
+  }
+
+  private void count(String service, int pieces) {
+    int sum = announced.getOrDefault(service, 0) + pieces;
+    if (sum == 0) {
+      announced.remove(service);
+    } else {
+      announced.put(service, sum);
+    }
+  }
+}
