Among many boxes heartbeats go over two relays in each zone; few read the list of upstreams

Ruled out: the path of requests (2.5 a second for each box). Change: above 12 boxes each tells two relays of its zone every 400 ms; relays pass digests to those that asked them and to the relays of other zones. Relays rank first by rendezvous hashing among the boxes heard and connected; a box that gets no digest tells all, slowly. Six boxes read the list of upstreams often; the others read it when they hear that it changed. A configuration call may wait 10 s there.

--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -1,12 +1,14 @@
 package org.gradeledge.follow;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.gradeledge.event.EventLog;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 
 /**
@@ -28,10 +30,11 @@
   private final TableListener listener;
   private final EventLoop loop;
   private final EventLog events;
-  private final Duration wait;
+  private final Supplier<Duration> wait;
   private final Supplier<Duration> pause;
   private long revision = -1;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
+  private @Nullable ScheduledFuture<?> pausing;
   private boolean lost;
   private int failuresInARow;
 
@@ -47,7 +50,7 @@
       TableListener listener,
       EventLoop loop,
       EventLog events,
-      Duration wait,
+      Supplier<Duration> wait,
       Supplier<Duration> pause) {
     this.name = name;
     this.table = table;
@@ -63,11 +66,19 @@
     next();
   }
 
+  /** Ends a pause between calls, as there is something new to be read. */
+  public void lookNow() {
+    if (!lost && pausing != null && pausing.cancel(false)) {
+      next();
+    }
+  }
+
   private void next() {
+    pausing = null;
     if (revision < 0) {
       subscribe(table.read(), this::take);
     } else {
-      subscribe(table.changes(revision, wait), this::take);
+      subscribe(table.changes(revision, wait.get()), this::take);
     }
   }
 
@@ -83,7 +94,7 @@
       regained();
     }
     taker.accept(answer);
-    loop.schedule(this::next, pause.get().toMillis(), TimeUnit.MILLISECONDS);
+    pausing = loop.schedule(this::next, pause.get().toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void regained() {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -2,20 +2,16 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.gradeledge.batch.BatchCoordinator;
 import org.gradeledge.batch.PiecesToCome;
-import org.gradeledge.batch.StageGroup;
-import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -25,7 +21,6 @@
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.time.MonotonicClock;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.MonoSink;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
 
@@ -40,13 +35,11 @@
  */
 public final class BoxMesh {
 
-  private static final long BEAT_MILLIS = 200;
-  private static final int BOXES_AT_FULL_RATE = 12;
-  private static final int BEATS_TO_LOSE = 5;
-  private static final long LEARN_DELAY_MILLIS = 150;
-  private static final Duration ANSWER_LIMIT = Duration.ofMillis(800);
+  /** Among many boxes each reads the news itself where it can. */
+  private static final long OWN_READ_MILLIS = 500;
 
   private final String self;
+  private final String zone;
   private final PeerNetwork network;
   private final EventLoop loop;
   private final DeploymentRegistry deployments;
@@ -58,18 +51,25 @@
   private final PiecesToCome toCome;
   private Supplier<Map<String, List<Long>>> backlogs = Map::of;
   private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
-  private boolean learningConfiguration;
-  private boolean learningUpstreams;
+  private Runnable onUpstreamNews = () -> {};
+  private final HeartbeatRelay relay;
+  private final HeartbeatRoutes routes;
+  private final DocumentExchange documents;
+  private final HeartbeatSender sender;
+  private long newestConfiguration = -1;
+  private long newestUpstreams = -1;
   private boolean leaving;
 
   /**
    * Creates the mesh; it does not speak yet.
    *
    * @param self address of this box
+   * @param zone its availability zone
    * @param seeds addresses of some boxes, which may be stale
    */
   public BoxMesh(
       String self,
+      String zone,
       Collection<String> seeds,
       PeerNetwork network,
       EventLoop loop,
@@ -80,6 +80,7 @@
       MonotonicClock clock,
       EventLog events) {
     this.self = self;
+    this.zone = zone;
     this.network = network;
     this.loop = loop;
     this.deployments = deployments;
@@ -87,7 +88,12 @@
     this.board = board;
     this.toCome = toCome;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
-    this.peers = new PeerBoard(self, clock, events);
+    this.peers = new PeerBoard(self, zone, clock, events);
+    this.relay = new HeartbeatRelay(self, clock);
+    this.routes = new HeartbeatRoutes(self, zone, peers, network::connectedIds);
+    this.documents = new DocumentExchange(network, loop, deployments, upstreams);
+    this.sender = new HeartbeatSender(network, loop, clock, peers, routes, relay, this::own);
+    peers.onLost(relay::forget);
     peers.onLost(box -> board.setPeerShares(box, Map.of()));
     peers.onLost(toCome::forget);
     peers.onLost(network::disconnect);
@@ -95,8 +101,8 @@
 
   /** Returns what has stage work done by one box for each service. */
   public StageWorkClient stageWork(BatchCoordinator coordinator) {
-    network.register(
-        MeshMessages.STAGE_WORK, (from, group) -> onLoop(() -> work(coordinator, group)));
+    StageWorkHandler handler = new StageWorkHandler(coordinator);
+    network.register(MeshMessages.STAGE_WORK, (from, group) -> onLoop(() -> handler.work(group)));
     network.register(
         MeshMessages.STAGE_CANCEL,
         (from, message) -> done(() -> coordinator.cancel(message.service(), message.requestId())));
@@ -113,11 +119,15 @@
 
   /** Listens and starts to tell. */
   public Mono<? extends DisposableServer> start(InetSocketAddress listen) {
-    network.register(MeshMessages.HEARTBEAT, (from, beat) -> done(() -> heard(from.boxId(), beat)));
     network.register(
-        MeshMessages.CONFIGURATION, (from, request) -> onLoop(() -> Mono.just(configuration())));
+        MeshMessages.HEARTBEAT, (from, beat) -> done(() -> heardDirectly(from.boxId(), beat)));
+    network.register(MeshMessages.DIGEST, (from, digest) -> done(() -> heardDigest(digest)));
+    network.register(
+        MeshMessages.CONFIGURATION,
+        (from, request) -> onLoop(() -> Mono.just(documents.configuration())));
     network.register(
-        MeshMessages.UPSTREAMS, (from, request) -> onLoop(() -> Mono.just(upstreamList())));
+        MeshMessages.UPSTREAMS,
+        (from, request) -> onLoop(() -> Mono.just(documents.upstreamList())));
     network.setIncarnation(System.currentTimeMillis());
     return network.listen(listen).doOnNext(server -> loop.execute(this::beat));
   }
@@ -126,12 +136,28 @@
   public void leave() {
     leaving = true;
     peers.leave();
-    tell();
+    sender.tell();
   }
 
   /** Tells the others at once what was just learned. */
   public void tellNow() {
-    tell();
+    sender.tell();
+    sender.tellDigestsSoon();
+  }
+
+  /** Runs an action whenever another box has read something newer of the list of upstreams. */
+  public void onUpstreamNews(Runnable action) {
+    onUpstreamNews = action;
+  }
+
+  /** Returns whether there are many boxes and this one hears of them by digests. */
+  public boolean hearsDigests() {
+    return sender.hearsDigests();
+  }
+
+  /** Returns whether this box is among so many that have a duty for all. */
+  public boolean hasDuty(String duty, int boxes) {
+    return routes.isAmongFirst(duty, boxes);
   }
 
   /** Returns how many boxes are heard, this one included. */
@@ -140,11 +166,10 @@
   }
 
   private void beat() {
-    long interval = BEAT_MILLIS * Math.max(1, peers.alive().size() / BOXES_AT_FULL_RATE);
-    peers.expire(interval * BEATS_TO_LOSE);
+    peers.expire(sender.silenceMillis());
     connect();
-    tell();
-    loop.schedule(this::beat, interval, TimeUnit.MILLISECONDS);
+    sender.beat();
+    loop.schedule(this::beat, sender.intervalMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void connect() {
@@ -153,104 +178,51 @@
     network.setPeers(wanted.stream().map(BoxMesh::address).toList());
   }
 
-  private void tell() {
-    network.tellAll(
-        MeshMessages.HEARTBEAT,
-        new Heartbeat(
-            leaving,
-            deployments.revision(),
-            upstreams.changedAt(),
-            List.copyOf(peers.alive()),
-            board.ownShares(),
-            backlogs.get(),
-            toCome.own()));
+  private Heartbeat own() {
+    return new Heartbeat(
+        zone,
+        leaving,
+        false,
+        deployments.revision(),
+        upstreams.changedAt(),
+        List.of(),
+        board.ownShares(),
+        backlogs.get(),
+        toCome.own());
+  }
+
+  private void heardDirectly(String box, Heartbeat beat) {
+    relay.heard(box, beat);
+    heard(box, beat, 0);
   }
 
-  private void heard(String box, Heartbeat beat) {
-    peers.heard(box, beat.leaving());
+  private void heardDigest(Digest digest) {
+    sender.heardDigest();
+    relay.takeNewer(digest).forEach(entry -> heard(entry.box(), entry.beat(), entry.ageMillis()));
+  }
+
+  private void heard(String box, Heartbeat beat, long ageMillis) {
+    peers.heard(box, beat.zone(), beat.leaving(), ageMillis);
     board.setPeerShares(box, beat.shares());
     onBacklogs.accept(box, beat.backlogMillis());
     toCome.told(box, beat.piecesToCome());
     known.add(box);
     beat.boxes().stream().filter(other -> !other.equals(self)).forEach(known::add);
-    if (beat.configuration() > deployments.revision()) {
-      loop.schedule(
-          () -> learnConfiguration(box, beat.configuration()),
-          LEARN_DELAY_MILLIS,
-          TimeUnit.MILLISECONDS);
-    }
+    documents.learnConfigurationSoon(box, beat.configuration());
     if (beat.upstreams() > upstreams.revision()) {
-      learnUpstreams(box);
+      onUpstreamNews.run();
+      documents.learnUpstreamsSoon(box, beat.upstreams(), routes.many() ? OWN_READ_MILLIS : 0);
     }
-  }
-
-  private void learnConfiguration(String box, long revision) {
-    if (learningConfiguration || deployments.revision() >= revision) {
-      return;
-    }
-    learningConfiguration = true;
-    network
-        .ask(
-            box,
-            MeshMessages.CONFIGURATION,
-            new DocumentRequest(deployments.revision()),
-            DocumentAnswer.class,
-            ANSWER_LIMIT)
-        .doFinally(signal -> loop.execute(() -> learningConfiguration = false))
-        .subscribe(
-            answer -> loop.execute(() -> deployments.offer(answer.document(), box)), failure -> {});
-  }
-
-  private void learnUpstreams(String box) {
-    if (learningUpstreams) {
-      return;
+    if (isNews(beat)) {
+      sender.tellDigestsSoon();
     }
-    learningUpstreams = true;
-    network
-        .ask(
-            box,
-            MeshMessages.UPSTREAMS,
-            new DocumentRequest(upstreams.revision()),
-            UpstreamList.class,
-            ANSWER_LIMIT)
-        .doFinally(signal -> loop.execute(() -> learningUpstreams = false))
-        .subscribe(
-            list -> loop.execute(() -> upstreams.replaceAll(list.revision(), list.upstreams())),
-            failure -> {});
-  }
-
-  private DocumentAnswer configuration() {
-    return new DocumentAnswer(
-        deployments.current().map(held -> held.document()).orElse(new byte[0]));
-  }
-
-  private UpstreamList upstreamList() {
-    return new UpstreamList(upstreams.revision(), List.copyOf(upstreams.listed()));
   }
 
-  private static Mono<StageGroupResult> work(BatchCoordinator coordinator, StageGroup group) {
-    return Mono.create(
-        sink -> {
-          AtomicBoolean wanted = new AtomicBoolean(true);
-          sink.onCancel(
-              () -> {
-                wanted.set(false);
-                coordinator.cancel(group.service(), group.requestId());
-              });
-          coordinator.submit(group, result -> hand(coordinator, sink, wanted, result));
-        });
-  }
-
-  private static void hand(
-      BatchCoordinator coordinator,
-      MonoSink<StageGroupResult> sink,
-      AtomicBoolean wanted,
-      StageGroupResult result) {
-    if (wanted.get()) {
-      sink.success(result);
-    } else {
-      coordinator.free(result.handles());
-    }
+  private boolean isNews(Heartbeat beat) {
+    boolean news = beat.configuration() > newestConfiguration || beat.upstreams() > newestUpstreams;
+    newestConfiguration = Math.max(newestConfiguration, beat.configuration());
+    newestUpstreams = Math.max(newestUpstreams, beat.upstreams());
+    return news;
   }
 
   private <T> Mono<T> onLoop(Supplier<Mono<T>> action) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -1,5 +1,6 @@
 package org.gradeledge.mesh;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 import java.util.Map;
 import org.gradeledge.selection.LoadShare;
@@ -7,20 +8,46 @@
 /**
  * What a box tells all others again and again.
  *
+ * @param zone its availability zone
  * @param leaving whether it is stopping
+ * @param relayAsked whether the box that hears it directly is asked to pass it on
  * @param configuration revision of the configuration that it has in force
  * @param upstreams revision at which its list of upstreams last said something new
- * @param boxes addresses of the boxes that it hears
+ * @param boxes addresses of the boxes that it hears; left out where heartbeats are relayed
  * @param shares what it has under way, by upstream
  * @param backlogMillis how long the stage work that waits at it keeps each service busy, for each
  *     priority what is as urgent or more
  * @param piecesToCome pieces that its requests will want made, by service and priority
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record Heartbeat(
+    String zone,
     boolean leaving,
+    boolean relayAsked,
     long configuration,
     long upstreams,
     List<String> boxes,
     Map<String, LoadShare> shares,
     Map<String, List<Long>> backlogMillis,
-    Map<String, List<Long>> piecesToCome) {}
+    Map<String, List<Long>> piecesToCome) {
+
+  /** Returns the same with the boxes that are heard. */
+  Heartbeat withBoxes(List<String> heard) {
+    return new Heartbeat(
+        zone,
+        leaving,
+        relayAsked,
+        configuration,
+        upstreams,
+        heard,
+        shares,
+        backlogMillis,
+        piecesToCome);
+  }
+
+  /** Returns the same, to be passed on. */
+  Heartbeat askingToRelay() {
+    return new Heartbeat(
+        zone, leaving, true, configuration, upstreams, boxes, shares, backlogMillis, piecesToCome);
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
@@ -0,0 +1,79 @@
+package org.gradeledge.mesh;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.gradeledge.selection.RendezvousHash;
+
+/**
+ * Whom a box tells what it has. Few boxes tell all others. Among many, each tells two relays of its
+ * zone, and the relays of different zones tell each other; so what a box sends and receives does
+ * not grow with the number of boxes, but for the digests' length. Relays are those that rank first
+ * by rendezvous hashing among the boxes that are heard and connected. Confined to the event loop.
+ */
+final class HeartbeatRoutes {
+
+  /** Up to so many boxes all tell all. */
+  static final int MOST_THAT_TELL_ALL = 12;
+
+  private static final int RELAYS_OF_ZONE = 2;
+
+  private final String self;
+  private final String zone;
+  private final PeerBoard peers;
+  private final Supplier<Set<String>> connected;
+
+  HeartbeatRoutes(String self, String zone, PeerBoard peers, Supplier<Set<String>> connected) {
+    this.self = self;
+    this.zone = zone;
+    this.peers = peers;
+    this.connected = connected;
+  }
+
+  /** Returns whether there are so many boxes that heartbeats are relayed. */
+  boolean many() {
+    return peers.alive().size() > MOST_THAT_TELL_ALL;
+  }
+
+  /** Returns the relays of the own zone, without this box. */
+  List<String> ownRelays() {
+    return others(relays(zone, connected.get()));
+  }
+
+  /** Returns whether this box is a relay of its zone. */
+  boolean isRelay() {
+    return relays(zone, connected.get()).contains(self);
+  }
+
+  /** Returns the relays of all other zones. */
+  List<String> foreignRelays() {
+    Set<String> reachable = connected.get();
+    return peers.zones().stream()
+        .filter(other -> !other.equals(zone))
+        .flatMap(other -> relays(other, reachable).stream())
+        .toList();
+  }
+
+  /** Returns whether this box is among the first so many of all that work for others. */
+  boolean isAmongFirst(String duty, int count) {
+    return peers.working().stream().sorted(byRank(duty)).limit(count).anyMatch(self::equals);
+  }
+
+  private List<String> relays(String ofZone, Set<String> reachable) {
+    return peers.working().stream()
+        .filter(box -> box.equals(self) || reachable.contains(box))
+        .filter(box -> peers.zoneOf(box).filter(ofZone::equals).isPresent())
+        .sorted(byRank("relay"))
+        .limit(RELAYS_OF_ZONE)
+        .toList();
+  }
+
+  private List<String> others(List<String> boxes) {
+    return boxes.stream().filter(box -> !box.equals(self)).toList();
+  }
+
+  private static Comparator<String> byRank(String duty) {
+    return Comparator.comparingLong((String box) -> RendezvousHash.weight(duty, box)).reversed();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
@@ -0,0 +1,124 @@
+package org.gradeledge.mesh;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.time.MonotonicClock;
+
+/**
+ * Sends the own heartbeats to whom they are due, and digests to those that asked for them. Confined
+ * to the event loop.
+ */
+final class HeartbeatSender {
+
+  private static final long BEAT_MILLIS = 200;
+  private static final int BEATS_TO_LOSE = 5;
+  private static final long RELAYED_BEAT_MILLIS = 400;
+  private static final int RELAYED_BEATS_TO_LOSE = 10;
+  private static final int BEATS_OF_DIGEST = 3;
+  private static final Duration DIGEST_SILENCE = Duration.ofSeconds(3);
+  private static final long NEWS_DELAY_MILLIS = 50;
+
+  private final PeerNetwork network;
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final PeerBoard peers;
+  private final HeartbeatRoutes routes;
+  private final HeartbeatRelay relay;
+  private final Supplier<Heartbeat> own;
+  private long digestNanos;
+  private long beats;
+  private boolean digestDue;
+
+  HeartbeatSender(
+      PeerNetwork network,
+      EventLoop loop,
+      MonotonicClock clock,
+      PeerBoard peers,
+      HeartbeatRoutes routes,
+      HeartbeatRelay relay,
+      Supplier<Heartbeat> own) {
+    this.network = network;
+    this.loop = loop;
+    this.clock = clock;
+    this.peers = peers;
+    this.routes = routes;
+    this.relay = relay;
+    this.own = own;
+    this.digestNanos = clock.nanos() - DIGEST_SILENCE.toNanos();
+  }
+
+  /** Returns the time between heartbeats. */
+  long intervalMillis() {
+    return routes.many() ? RELAYED_BEAT_MILLIS : BEAT_MILLIS;
+  }
+
+  /** Returns after how long a box that is not heard counts as lost. */
+  long silenceMillis() {
+    return intervalMillis() * (routes.many() ? RELAYED_BEATS_TO_LOSE : BEATS_TO_LOSE);
+  }
+
+  /** Sends what is due at each heartbeat. */
+  void beat() {
+    beats++;
+    tell();
+    if (routes.many() && digestTurn()) {
+      tellDigests();
+    }
+  }
+
+  /** Sends the own heartbeat. */
+  void tell() {
+    Heartbeat beat = own.get();
+    if (!routes.many()) {
+      network.tellAll(MeshMessages.HEARTBEAT, beat.withBoxes(List.copyOf(peers.alive())));
+      return;
+    }
+    if (!hearsDigests() && digestTurn()) {
+      network.tellAll(MeshMessages.HEARTBEAT, beat);
+    }
+    network.tellEach(routes.ownRelays(), MeshMessages.HEARTBEAT, beat.askingToRelay());
+  }
+
+  /** Sends digests without waiting for their turn, if there are enough boxes for them. */
+  void tellDigestsSoon() {
+    if (routes.many() && !digestDue) {
+      digestDue = true;
+      loop.schedule(this::tellDueDigests, NEWS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tellDueDigests() {
+    digestDue = false;
+    tellDigests();
+  }
+
+  /** Notes that a digest has come. */
+  void heardDigest() {
+    digestNanos = clock.nanos();
+  }
+
+  /** Returns whether there are many boxes and this one hears of them by digests. */
+  boolean hearsDigests() {
+    return routes.many() && clock.nanos() - digestNanos < DIGEST_SILENCE.toNanos();
+  }
+
+  private boolean digestTurn() {
+    return beats % BEATS_OF_DIGEST == 0;
+  }
+
+  private void tellDigests() {
+    Set<String> flock = relay.flock(silenceMillis());
+    Heartbeat beat = own.get();
+    if (!flock.isEmpty()) {
+      network.tellEach(flock, MeshMessages.DIGEST, relay.ofAll(beat));
+    }
+    if (!flock.isEmpty() || routes.isRelay()) {
+      network.tellEach(routes.foreignRelays(), MeshMessages.DIGEST, relay.of(flock, beat));
+    }
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshMessages.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshMessages.java
@@ -8,6 +8,7 @@
 
   static final PeerMessageType<Heartbeat> HEARTBEAT =
       new PeerMessageType<>("heartbeat", Heartbeat.class);
+  static final PeerMessageType<Digest> DIGEST = new PeerMessageType<>("digest", Digest.class);
   static final PeerMessageType<DocumentRequest> CONFIGURATION =
       new PeerMessageType<>("configuration", DocumentRequest.class);
   static final PeerMessageType<DocumentRequest> UPSTREAMS =
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -15,17 +16,19 @@
 
   private static final long FORGET_MILLIS = 60_000;
 
-  private record Seen(long nanos, boolean leaving, boolean alive) {}
+  private record Seen(long nanos, String zone, boolean leaving, boolean alive) {}
 
   private final String self;
+  private final String zone;
   private final MonotonicClock clock;
   private final EventLog events;
   private final Map<String, Seen> seen = new HashMap<>();
   private final List<Consumer<String>> lostListeners = new ArrayList<>();
   private boolean leaving;
 
-  PeerBoard(String self, MonotonicClock clock, EventLog events) {
+  PeerBoard(String self, String zone, MonotonicClock clock, EventLog events) {
     this.self = self;
+    this.zone = zone;
     this.clock = clock;
     this.events = events;
   }
@@ -38,8 +41,10 @@
     leaving = true;
   }
 
-  void heard(String box, boolean boxLeaving) {
-    Seen before = seen.put(box, new Seen(clock.nanos(), boxLeaving, true));
+  /** Notes what a box told so many milliseconds ago. */
+  void heard(String box, String boxZone, boolean boxLeaving, long ageMillis) {
+    long nanos = clock.nanos() - ageMillis * 1_000_000;
+    Seen before = seen.put(box, new Seen(nanos, boxZone, boxLeaving, true));
     if (before == null || !before.alive()) {
       events.change("peer-heard").with("peer", box).write();
     }
@@ -55,7 +60,7 @@
     Seen last = seen.get(box);
     long silent = (now - last.nanos()) / 1_000_000;
     if (last.alive() && silent > silentMillis) {
-      seen.put(box, new Seen(last.nanos(), last.leaving(), false));
+      seen.put(box, new Seen(last.nanos(), last.zone(), last.leaving(), false));
       events.change("peer-lost").with("peer", box).with("silent-ms", silent).write();
       lostListeners.forEach(listener -> listener.accept(box));
     } else if (silent > FORGET_MILLIS) {
@@ -68,6 +73,21 @@
     return last != null && last.alive();
   }
 
+  /** Returns the zone of a box that was heard, or of this one. */
+  Optional<String> zoneOf(String box) {
+    return box.equals(self)
+        ? Optional.of(zone)
+        : Optional.ofNullable(seen.get(box)).map(Seen::zone);
+  }
+
+  /** Returns the zones of all boxes that were heard, and the own one. */
+  Set<String> zones() {
+    Set<String> zones = new TreeSet<>();
+    zones.add(zone);
+    seen.values().forEach(last -> zones.add(last.zone()));
+    return zones;
+  }
+
   /** Returns the boxes that are heard, this one included. */
   Set<String> alive() {
     Set<String> boxes = new TreeSet<>();
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -44,9 +44,13 @@
 public final class RelayBox {
 
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
+  private static final Duration LONG_CONFIGURATION_WAIT = Duration.ofSeconds(10);
   private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(60);
   private static final double PAUSE_OF_LEAVING_BOUND = 0.5;
   private static final double PAUSE_ALONE = 0.2;
+  private static final double PAUSE_OF_READER = 0.35;
+  private static final double PAUSE_OF_OTHERS = 2.5;
+  private static final int READERS = 6;
   private static final int BOXES_THAT_SHARE = 3;
   private static final int FEWEST_BOXES = 6;
   private static final double CONNECTION_SHARE = 0.9;
@@ -84,6 +88,7 @@
     this.configurationFollower = followConfiguration(adapters);
     this.upstreamFollower = followUpstreams(adapters);
     this.mesh = newMesh(board, clock);
+    mesh.onUpstreamNews(upstreamFollower::lookNow);
     RetryBudget budget =
         new RetryBudget(
             clock,
@@ -131,7 +136,7 @@
         new ConfigurationTableListener(deployments),
         loop,
         events,
-        CONFIGURATION_WAIT,
+        this::configurationWait,
         () -> CONFIGURATION_PAUSE);
   }
 
@@ -143,13 +148,21 @@
             upstreams, adapters.upstreamReader(), events, this::tellPeers, loop),
         loop,
         events,
-        Duration.ZERO,
+        () -> Duration.ZERO,
         this::upstreamPause);
   }
 
+  /** A call whose answer is lost is noticed late where it waits long; then other boxes tell. */
+  private Duration configurationWait() {
+    return mesh.hearsDigests() ? LONG_CONFIGURATION_WAIT : CONFIGURATION_WAIT;
+  }
+
   /** Boxes that hear each other share the reading, as each tells the others what it learned. */
   private Duration upstreamPause() {
     double part = mesh.boxes() < BOXES_THAT_SHARE ? PAUSE_ALONE : PAUSE_OF_LEAVING_BOUND;
+    if (mesh.hearsDigests()) {
+      part = mesh.hasDuty("read-upstreams", READERS) ? PAUSE_OF_READER : PAUSE_OF_OTHERS;
+    }
     return Duration.ofMillis((long) (settings.leavingBound().toMillis() * part));
   }
 
@@ -165,6 +178,7 @@
             peerName(settings), new PeerSecret(settings.peerSecret()), transport, boxMetrics);
     return new BoxMesh(
         peerName(settings),
+        settings.zone(),
         settings.seeds(),
         network,
         loop,
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerFrame.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerFrame.java
@@ -1,5 +1,7 @@
 package org.gradeledge.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * One frame on the wire.
  *
@@ -8,4 +10,5 @@
  * @param answer whether this is an answer
  * @param body the message in MessagePack
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record PeerFrame(String type, long correlation, boolean answer, byte[] body) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
@@ -87,6 +88,22 @@
     }
   }
 
+  /** Sends a message to those of some peers that are connected. */
+  public <T> void tellEach(Collection<String> peerIds, PeerMessageType<T> type, T message) {
+    if (peerIds.isEmpty()) {
+      return;
+    }
+    byte[] body = codec.encode(message);
+    peerIds.stream()
+        .flatMap(peerId -> Optional.ofNullable(open.get(peerId)).stream())
+        .forEach(connection -> connection.tell(type.name(), body));
+  }
+
+  /** Returns the names of the peers whose connections are up. */
+  public Set<String> connectedIds() {
+    return Set.copyOf(open.keySet());
+  }
+
   /** Sends a message to all connected peers. */
   public <T> void tellAll(PeerMessageType<T> type, T message) {
     byte[] body = codec.encode(message);
--- a/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
@@ -96,7 +96,7 @@
             new RecordingListener(),
             loop,
             EventLogs.silent(),
-            Duration.ZERO,
+            () -> Duration.ZERO,
             () -> Duration.ZERO);
     loop.execute(follower::start);
   }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
@@ -0,0 +1,15 @@
+package org.gradeledge.mesh;
+
+import java.util.List;
+import java.util.Map;
+
+/** Heartbeats for tests. */
+final class Heartbeats {
+
+  private Heartbeats() {}
+
+  static Heartbeat of(String zone, long configuration) {
+    return new Heartbeat(
+        zone, false, false, configuration, 0, List.of(), Map.of(), Map.of(), Map.of());
+  }
+}
