Stand-ins end also while calls are under way that never end

FleetBoxesTests failed once it ran with StandInServer: disposing of a server with a group of connections waits for the calls under way, and a silent store's never end. The listening channel is closed first, then the connections.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/StandInServer.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/StandInServer.java
@@ -29,9 +29,10 @@
     return server.port();
   }
 
+  /** Ends at once; disposing of the server instead would wait for calls that never end. */
   @Override
   public void close() {
-    server.disposeNow();
+    server.channel().close().awaitUninterruptibly();
     connections.close().awaitUninterruptibly();
   }
 }
