Boxes that start are introduced to all; who takes over stage work counts the calls and results before

And boxes that start together choose the box for stage work by different views for a moment. Change: a box that knows few gets a digest of all from any box that knows many, once a second at most. Stage work waits at a box until it has been up for 0.5 s and heard nobody new for 0.3 s, 1.2 s at most. ManyBoxesTests (18 boxes over real connections) hung for its whole limit before, passes in 4 s.

Change: heartbeats tell calls and memory by upstream for stage engines too, held results included; an engine that another box calls is left alone, and room that others take counts. An engine without room is asked again after 250 ms, 500, 1,000. A full one is left alone for 0.6 of a call. Results that nobody gives up are not told for longer than they are kept.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -81,6 +81,7 @@
    * each priority from 0 what is as urgent or more.
    */
   public Map<String, List<Long>> backlogMillis() {
+    queues.values().forEach(BatchQueue::expireResults);
     return queues.entrySet().stream()
         .collect(Collectors.toMap(Map.Entry::getKey, each -> byPriority(each.getValue())));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -22,7 +22,7 @@
   private static final int HTTP_UNAVAILABLE = 503;
   private static final double LIMIT_FACTOR = 2.5;
   private static final long LIMIT_EXTRA_MILLIS = 400;
-  private static final long FULL_PAUSE_MILLIS = 60;
+  private static final double FULL_PART_OF_CALL = 0.6;
   private static final long LOOK_AGAIN_MILLIS = 25;
 
   private final String service;
@@ -38,7 +38,7 @@
     this.service = service;
     this.services = services;
     this.loop = loop;
-    this.held = new HeldResults(services.clock());
+    this.held = new HeldResults(services.clock(), services.board());
     this.upstreams = new BatchUpstreams(service, services, held);
     this.retries = new PieceRetries(service, services);
   }
@@ -74,6 +74,10 @@
     return !group.inTimeAfter(upstreams.backlogMillis(limits, ahead, now) + own, now);
   }
 
+  void expireResults() {
+    held.expire();
+  }
+
   void cancel(String requestId) {
     waiting.cancel(requestId);
   }
@@ -150,7 +154,7 @@
     BatchCall call = new BatchCall(target, chosen, now, this);
     double expected = target.expectedMillis(limits, chosen.size());
     target.started(call.resultBytes(), expected, now);
-    services.board().started(target.upstream(), 0);
+    services.board().started(target.upstream(), call.resultBytes());
     List<CallItem> items =
         chosen.stream()
             .map(p -> new CallItem(p.group().group(), p.index(), p.group().leftMillis(now)))
@@ -182,7 +186,7 @@
           .peek(results -> take(call, results))
           .peekLeft(why -> tryAgain(call, true, why));
     } else if (status == HTTP_UNAVAILABLE) {
-      services.board().pause(call.target().upstream(), FULL_PAUSE_MILLIS);
+      pauseFull(call);
       tryAgain(call, true, "full");
     } else {
       services.board().failed(call.target().upstream(), false, "status " + status);
@@ -197,7 +201,7 @@
     boolean sent = failure.map(CallFailure::sent).orElse(true);
     String why = failure.map(CallFailure::name).orElse("no answer in time");
     if (failure.filter(CallFailure.NO_CONNECTION_FREE::equals).isPresent()) {
-      services.board().pause(call.target().upstream(), FULL_PAUSE_MILLIS);
+      pauseFull(call);
     } else {
       services.board().failed(call.target().upstream(), !sent || failure.isEmpty(), why);
     }
@@ -205,9 +209,16 @@
     dispatch();
   }
 
+  /** What keeps an upstream full is calls, of which one ends within the time of a call. */
+  private void pauseFull(BatchCall call) {
+    BatchLimits limits = services.limits(service).orElseThrow();
+    long millis = (long) (limits.expectedMillis(1) * FULL_PART_OF_CALL);
+    services.board().pause(call.target().upstream(), millis);
+  }
+
   private void ended(BatchCall call) {
     call.target().ended(call.resultBytes());
-    services.board().ended(call.target().upstream(), 0);
+    services.board().ended(call.target().upstream(), call.resultBytes());
   }
 
   private void take(BatchCall call, List<PieceResult> results) {
@@ -229,7 +240,7 @@
       case LATE -> end(piece.group(), StageOutcome.LATE);
       case GONE -> end(piece.group(), StageOutcome.GONE);
       case NO_ROOM -> {
-        held.full(upstream.id(), limits.roomBytes());
+        held.full(upstream.id());
         tryAgain(List.of(piece), true, "no room", upstream);
       }
       case ERROR -> tryAgain(List.of(piece), true, "error", upstream);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -40,7 +40,7 @@
     Comparator<BatchUpstream> fastest =
         Comparator.comparingDouble(each -> each.expectedMillis(limits, items));
     return known.stream()
-        .filter(each -> each.free(limits))
+        .filter(each -> free(each, limits))
         .filter(each -> each.expectedMillis(limits, items) <= soonest * SLOW_EXCUSE)
         .sorted(fastest.thenComparingLong(this::occupiedBytes))
         .toList();
@@ -65,7 +65,15 @@
 
   /** Returns the room for results that an upstream has left. */
   long roomBytes(BatchUpstream target, BatchLimits limits) {
-    return (long) (limits.roomBytes() * ROOM_USED) - occupiedBytes(target);
+    return held.isFull(target.upstream().id())
+        ? 0
+        : (long) (limits.roomBytes() * ROOM_USED) - occupiedBytes(target);
+  }
+
+  /** Another box may still be calling the upstream, as it did this work until a moment ago. */
+  private boolean free(BatchUpstream target, BatchLimits limits) {
+    int others = services.board().runningAtPeers(target.upstream());
+    return target.free(limits) && others < limits.calls();
   }
 
   /**
@@ -82,7 +90,9 @@
   }
 
   private long occupiedBytes(BatchUpstream target) {
-    return held.bytesAt(target.upstream().id()) + target.reservedBytes();
+    return held.bytesAt(target.upstream().id())
+        + target.reservedBytes()
+        + services.board().memoryAtPeers(target.upstream());
   }
 
   private List<BatchUpstream> usable() {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
@@ -2,42 +2,93 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.time.MonotonicClock;
 
-/** How much room results take at the upstreams of a service. Confined to the event loop. */
+/**
+ * How much room results take at the upstreams of a service, and which upstreams said that they have
+ * none. Other boxes hear of it by the load board. Confined to the event loop.
+ */
 final class HeldResults {
 
-  private static final long FULL_MILLIS = 250;
+  private static final long FIRST_FULL_MILLIS = 250;
+  private static final long LONGEST_FULL_MILLIS = 1_000;
+  private static final long NANOS_OF_MILLI = 1_000_000;
 
   private record Held(String upstream, long bytes, long untilNanos) {}
 
+  private record Full(long millis, long untilNanos) {}
+
   private final MonotonicClock clock;
+  private final LoadBoard board;
   private final Map<String, Held> byHandle = new HashMap<>();
+  private final Map<String, Full> full = new HashMap<>();
 
-  HeldResults(MonotonicClock clock) {
+  HeldResults(MonotonicClock clock, LoadBoard board) {
     this.clock = clock;
+    this.board = board;
   }
 
+  /** Notes a result, which is there until it is given up or has been kept long enough. */
   void add(String handle, String upstream, long bytes, long keptMillis) {
-    byHandle.put(handle, new Held(upstream, bytes, clock.nanos() + keptMillis * 1_000_000));
+    full.remove(upstream);
+    board.hold(upstream, bytes);
+    byHandle.put(handle, new Held(upstream, bytes, after(keptMillis)));
+  }
+
+  /**
+   * Notes that an upstream said that it has no room, whoever may hold it; it is asked again after a
+   * while that doubles each time.
+   */
+  void full(String upstream) {
+    Full before = full.get(upstream);
+    if (before != null && before.untilNanos() - clock.nanos() > 0) {
+      return;
+    }
+    long millis =
+        before == null ? FIRST_FULL_MILLIS : Math.min(LONGEST_FULL_MILLIS, before.millis() * 2);
+    full.put(upstream, new Full(millis, after(millis)));
   }
 
-  /** Notes that an upstream said that it has no room, whoever may hold it. */
-  void full(String upstream, long bytes) {
-    add("full@" + upstream, upstream, bytes, FULL_MILLIS);
+  /** Returns whether an upstream said a short while ago that it has no room. */
+  boolean isFull(String upstream) {
+    Full said = full.get(upstream);
+    return said != null && said.untilNanos() - clock.nanos() > 0;
   }
 
   void remove(Collection<String> handles) {
-    handles.forEach(byHandle::remove);
+    handles.stream()
+        .flatMap(handle -> Optional.ofNullable(byHandle.remove(handle)).stream())
+        .forEach(this::giveBack);
   }
 
   long bytesAt(String upstream) {
-    long now = clock.nanos();
-    byHandle.values().removeIf(held -> held.untilNanos() - now < 0);
+    expire();
     return byHandle.values().stream()
         .filter(held -> held.upstream().equals(upstream))
         .mapToLong(Held::bytes)
         .sum();
   }
+
+  /** Gives back the room of results that have been kept long enough, whoever has forgotten them. */
+  void expire() {
+    long now = clock.nanos();
+    List<String> expired =
+        byHandle.entrySet().stream()
+            .filter(entry -> entry.getValue().untilNanos() - now < 0)
+            .map(Map.Entry::getKey)
+            .toList();
+    remove(expired);
+  }
+
+  private void giveBack(Held held) {
+    board.hold(held.upstream(), -held.bytes());
+  }
+
+  private long after(long millis) {
+    return clock.nanos() + millis * NANOS_OF_MILLI;
+  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -194,6 +194,9 @@
   private void heardDirectly(String box, Heartbeat beat) {
     relay.heard(box, beat);
     heard(box, beat, 0);
+    if (beat.isOfFew()) {
+      sender.introduce(box);
+    }
   }
 
   private void heardDigest(Digest digest) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -31,6 +31,11 @@
     Map<String, List<Long>> backlogMillis,
     Map<String, List<Long>> piecesToCome) {
 
+  /** Returns whether the box knows so few others that it tells all of them what it hears. */
+  boolean isOfFew() {
+    return !boxes.isEmpty();
+  }
+
   /** Returns the same with the boxes that are heard. */
   Heartbeat withBoxes(List<String> heard) {
     return new Heartbeat(
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -21,6 +23,7 @@
   private static final int RELAYED_BEATS_TO_LOSE = 10;
   private static final int BEATS_OF_DIGEST = 3;
   private static final Duration DIGEST_SILENCE = Duration.ofSeconds(3);
+  private static final Duration INTRODUCTION_PAUSE = Duration.ofSeconds(1);
   private static final long NEWS_DELAY_MILLIS = 50;
 
   private final PeerNetwork network;
@@ -30,6 +33,7 @@
   private final HeartbeatRoutes routes;
   private final HeartbeatRelay relay;
   private final Supplier<Heartbeat> own;
+  private final Map<String, Long> introducedNanos = new HashMap<>();
   private long digestNanos;
   private long beats;
   private boolean digestDue;
@@ -97,6 +101,19 @@
     tellDigests();
   }
 
+  /**
+   * Tells a box that knows few others of all that are there, if there are many: it has just
+   * started, and hears nobody who does not hear it.
+   */
+  void introduce(String box) {
+    long now = clock.nanos();
+    long last = introducedNanos.getOrDefault(box, now - INTRODUCTION_PAUSE.toNanos());
+    if (routes.many() && now - last >= INTRODUCTION_PAUSE.toNanos()) {
+      introducedNanos.put(box, now);
+      network.tell(box, MeshMessages.DIGEST, relay.ofAll(own.get()));
+    }
+  }
+
   /** Notes that a digest has come. */
   void heardDigest() {
     digestNanos = clock.nanos();
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.gradeledge.batch.BatchCoordinator;
@@ -25,6 +26,9 @@
  */
 final class MeshStageWorkClient implements StageWorkClient {
 
+  private static final String NO_BOX_YET = "";
+  private static final long LOOK_AGAIN_MILLIS = 50;
+
   private final String self;
   private final PeerNetwork network;
   private final PeerBoard peers;
@@ -53,8 +57,28 @@
     this.toCome = toCome;
   }
 
+  /**
+   * Hands the work on; a box that has just started waits a moment until it knows who else is there,
+   * since boxes that choose by different views call the same upstreams.
+   */
   @Override
   public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+    if (peers.settled()) {
+      place(group, listener);
+      return;
+    }
+    Placement placement = new Placement(group, listener);
+    placed.put(placement, NO_BOX_YET);
+    loop.schedule(() -> submitAgain(placement), LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void submitAgain(Placement placement) {
+    if (placed.remove(placement) != null) {
+      submit(placement.group(), placement.listener());
+    }
+  }
+
+  private void place(StageGroup group, Consumer<StageGroupResult> listener) {
     String box = coordinator(group.service());
     if (box.equals(self)) {
       local.submit(group, listener);
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
@@ -15,6 +15,9 @@
 final class PeerBoard {
 
   private static final long FORGET_MILLIS = 60_000;
+  private static final long FIRST_LOOK_MILLIS = 500;
+  private static final long NOBODY_NEW_MILLIS = 300;
+  private static final long LAST_LOOK_MILLIS = 1_200;
 
   private record Seen(long nanos, String zone, boolean leaving, boolean alive) {}
 
@@ -24,12 +27,16 @@
   private final EventLog events;
   private final Map<String, Seen> seen = new HashMap<>();
   private final List<Consumer<String>> lostListeners = new ArrayList<>();
+  private final long startNanos;
+  private long newestNanos;
   private boolean leaving;
 
   PeerBoard(String self, String zone, MonotonicClock clock, EventLog events) {
     this.self = self;
     this.zone = zone;
     this.clock = clock;
+    this.startNanos = clock.nanos();
+    this.newestNanos = startNanos;
     this.events = events;
   }
 
@@ -46,6 +53,7 @@
     long nanos = clock.nanos() - ageMillis * 1_000_000;
     Seen before = seen.put(box, new Seen(nanos, boxZone, boxLeaving, true));
     if (before == null || !before.alive()) {
+      newestNanos = clock.nanos();
       events.change("peer-heard").with("peer", box).write();
     }
   }
@@ -68,6 +76,17 @@
     }
   }
 
+  /**
+   * Returns whether this box has been up for long enough to know who else is there: it has looked
+   * for a while and heard nobody new lately, or has looked for very long.
+   */
+  boolean settled() {
+    long now = clock.nanos();
+    long up = (now - startNanos) / 1_000_000;
+    long nobodyNew = (now - newestNanos) / 1_000_000;
+    return up >= LAST_LOOK_MILLIS || (up >= FIRST_LOOK_MILLIS && nobodyNew >= NOBODY_NEW_MILLIS);
+  }
+
   boolean isAlive(String box) {
     Seen last = seen.get(box);
     return last != null && last.alive();
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
@@ -40,6 +40,24 @@
     load(upstream.id()).ended(tokens);
   }
 
+  /** Counts memory that results take at an upstream, negative where it is given back. */
+  public void hold(String upstreamId, long memory) {
+    UpstreamLoad load = memory > 0 ? load(upstreamId) : byId.get(upstreamId);
+    if (load != null) {
+      load.hold(memory);
+    }
+  }
+
+  /** Returns how many requests other boxes have under way at an upstream. */
+  public int runningAtPeers(UpstreamRecord upstream) {
+    return load(upstream.id()).peersRunning();
+  }
+
+  /** Returns how much memory other boxes take at an upstream. */
+  public long memoryAtPeers(UpstreamRecord upstream) {
+    return load(upstream.id()).peersTokens();
+  }
+
   /** Notes an answer in good order after so many milliseconds. */
   public void succeeded(UpstreamRecord upstream, double millis) {
     load(upstream.id()).succeeded(millis);
@@ -90,7 +108,7 @@
   /** Returns what this box has under way, by upstream. */
   public Map<String, LoadShare> ownShares() {
     return byId.entrySet().stream()
-        .filter(entry -> entry.getValue().own().running() > 0)
+        .filter(entry -> entry.getValue().own().isSomething())
         .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().own()));
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
@@ -79,12 +79,25 @@
     return new LoadShare(running, tokens);
   }
 
+  /** Counts memory that is taken although no request is under way, or given back. */
+  void hold(long demandedTokens) {
+    tokens = Math.max(0, tokens + demandedTokens);
+  }
+
+  int peersRunning() {
+    return ofPeers.values().stream().mapToInt(LoadShare::running).sum();
+  }
+
+  long peersTokens() {
+    return ofPeers.values().stream().mapToLong(LoadShare::tokens).sum();
+  }
+
   int totalRunning() {
-    return running + ofPeers.values().stream().mapToInt(LoadShare::running).sum();
+    return running + peersRunning();
   }
 
   long totalTokens() {
-    return tokens + ofPeers.values().stream().mapToLong(LoadShare::tokens).sum();
+    return tokens + peersTokens();
   }
 
   /** Returns the usual time of a request there, zero if none was measured. */
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/BatchCoordinatorTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/BatchCoordinatorTests.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -19,6 +20,7 @@
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.retry.RetryBudget;
 import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.selection.LoadShare;
 import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,12 +30,13 @@
 class BatchCoordinatorTests {
 
   private static final long ROOM = 1_000;
-  private static final BatchLimits LIMITS = new BatchLimits(1, 4, 400, 1, ROOM, 60_000);
 
   private final EventLoop loop = new DefaultEventLoop();
   private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
   private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
+  private final LoadBoard board = new LoadBoard(MonotonicClock.system(), EventLogs.silent());
   private final BlockingQueue<StageGroupResult> results = new LinkedBlockingQueue<>();
+  private volatile long keptMillis = 60_000;
   private final BatchCoordinator coordinator = newCoordinator(100);
 
   @AfterEach
@@ -44,10 +47,10 @@
   @Test
   void piecesOfSeveralRequestsShareACallWhileTheUpstreamIsBusy() throws Exception {
     list(upstream("u1", 1, "zone"));
-    submit(group("a", 1));
+    submit(StageGroups.group("a", 1));
     FakeUpstreamCaller.Call first = caller.next();
-    submit(group("b", 2));
-    submit(group("c", 3));
+    submit(StageGroups.group("b", 2));
+    submit(StageGroups.group("c", 3));
 
     answer(first, "10.0.0.1:1/a0");
     FakeUpstreamCaller.Call second = caller.next();
@@ -59,7 +62,7 @@
   @Test
   void aGroupEndsWithAllItsResultsInTheirOrder() throws Exception {
     list(upstream("u1", 1, "zone"));
-    submit(group("a", 6));
+    submit(StageGroups.group("a", 6));
     answer(caller.next(), "10.0.0.1:1/0 10.0.0.1:1/1 10.0.0.1:1/2 10.0.0.1:1/3");
     answer(caller.next(), "10.0.0.1:1/4 10.0.0.1:1/5");
 
@@ -73,7 +76,7 @@
   @Test
   void aCallThatBreaksOffIsMadeAgainByAnotherUpstream() throws Exception {
     list(upstream("u1", 1, "zone"), upstream("u2", 2, "zone"));
-    submit(group("a", 2));
+    submit(StageGroups.group("a", 2));
     FakeUpstreamCaller.Call first = caller.next();
     loop.submit(() -> first.fail(CallFailure.NOT_CONNECTED)).sync();
 
@@ -87,7 +90,7 @@
   void withoutRetryBudgetABrokenCallFailsItsGroups() throws Exception {
     BatchCoordinator poor = newCoordinator(0);
     list(upstream("u1", 1, "zone"));
-    loop.submit(() -> poor.submit(group("a", 1), results::add)).sync();
+    loop.submit(() -> poor.submit(StageGroups.group("a", 1), results::add)).sync();
     FakeUpstreamCaller.Call call = caller.next();
     loop.submit(() -> call.fail(CallFailure.BROKEN)).sync();
 
@@ -97,7 +100,7 @@
   @Test
   void anInputThatIsGoneEndsTheGroupAndGivesItsOtherResultsUp() throws Exception {
     list(upstream("u1", 1, "zone"));
-    submit(group("a", 2));
+    submit(StageGroups.group("a", 2));
     answer(caller.next(), "10.0.0.1:1/0 gone");
 
     assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.GONE);
@@ -109,9 +112,9 @@
   @Test
   void noCallIsMadeBeforeThereIsRoomForItsResults() throws Exception {
     list(upstream("u1", 1, "zone"));
-    submit(large("a", 1, ROOM / 2));
+    submit(StageGroups.large("a", 1, ROOM / 2));
     answer(caller.next(), "10.0.0.1:1/a");
-    submit(large("b", 1, ROOM / 2));
+    submit(StageGroups.large("b", 1, ROOM / 2));
     assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.MADE);
     assertThat(caller.isQuiet()).isTrue();
 
@@ -123,10 +126,58 @@
     assertThat(caller.next().body()).isEqualTo("b:0");
   }
 
+  @Test
+  void anUpstreamThatAnotherBoxStillCallsIsLeftAloneUntilThatEnds() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    peerHas("u1", new LoadShare(1, 0));
+    submit(StageGroups.group("a", 1));
+    assertThat(caller.isQuiet()).isTrue();
+
+    peerHas("u1", new LoadShare(0, 0));
+    submit(StageGroups.group("b", 1));
+
+    assertThat(caller.next().body()).isEqualTo("a:0 b:0");
+  }
+
+  @Test
+  void roomThatResultsOfAnotherBoxTakeCounts() throws Exception {
+    list(upstream("u1", 1, "zone"), upstream("u2", 2, "zone"));
+    peerHas("u1", new LoadShare(0, ROOM / 2));
+    submit(StageGroups.large("a", 1, ROOM / 2));
+
+    assertThat(caller.next().target().id()).isEqualTo("u2");
+  }
+
+  @Test
+  void roomThatResultsTakeIsToldUntilTheyAreGivenUp() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    submit(StageGroups.large("a", 1, 100));
+    answer(caller.next(), "10.0.0.1:1/a");
+    assertThat(loop.submit(board::ownShares).get()).containsEntry("u1", new LoadShare(0, 100));
+
+    loop.submit(() -> coordinator.free(List.of("10.0.0.1:1/a"))).sync();
+    answer(caller.next(), "");
+
+    assertThat(loop.submit(board::ownShares).get()).isEmpty();
+  }
+
+  @Test
+  void roomOfResultsThatNobodyGivesUpIsNotToldForEver() throws Exception {
+    list(upstream("u1", 1, "zone"));
+    keptMillis = 50;
+    submit(StageGroups.large("a", 1, 100));
+    answer(caller.next(), "10.0.0.1:1/a");
+    results.take();
+
+    while (!loop.submit(board::ownShares).get().isEmpty()) {
+      loop.submit(coordinator::backlogMillis).sync();
+    }
+  }
+
   @Test
   void anUpstreamThatSaysItHasNoRoomIsNotAskedAgainAtOnce() throws Exception {
     list(upstream("u1", 1, "zone"), upstream("u2", 2, "zone"));
-    submit(large("a", 1, 100));
+    submit(StageGroups.large("a", 1, 100));
     FakeUpstreamCaller.Call first = caller.next();
     answer(first, "no_room");
 
@@ -137,7 +188,7 @@
   void piecesAreMadeInTheZoneTheyAreWantedInWhereThatIsFree() throws Exception {
     list(upstream("u1", 1, "zone-1"), upstream("u2", 2, "zone-2"));
     for (int i = 0; i < 5; i++) {
-      submit(inZone("a" + i, "zone-2", 1, 60_000));
+      submit(StageGroups.inZone("a" + i, "zone-2", 1, 60_000));
       FakeUpstreamCaller.Call call = caller.next();
       assertThat(call.target().zone()).isEqualTo("zone-2");
       answer(call, "10.0.0.2:2/" + i);
@@ -147,9 +198,9 @@
   @Test
   void piecesThatWaitedLongEnoughTakeAnyZone() throws Exception {
     list(upstream("u1", 1, "zone-1"), upstream("u2", 2, "zone-2"));
-    submit(inZone("a", "zone-2", 1, 1_500));
+    submit(StageGroups.inZone("a", "zone-2", 1, 1_500));
     caller.next();
-    submit(inZone("b", "zone-2", 1, 1_500));
+    submit(StageGroups.inZone("b", "zone-2", 1, 1_500));
 
     assertThat(caller.next().target().zone()).isEqualTo("zone-1");
   }
@@ -157,7 +208,7 @@
   @Test
   void piecesWithLargeInputsThatMayBeMadeAnywhereAreMadeTogether() throws Exception {
     list(upstream("u1", 1, "zone-1"), upstream("u2", 2, "zone-2"));
-    submit(inZone("a", "", 6, 60_000));
+    submit(StageGroups.inZone("a", "", 6, 60_000));
     FakeUpstreamCaller.Call first = caller.next();
     answer(first, "10.0.0.1:1/0 10.0.0.1:1/1 10.0.0.1:1/2 10.0.0.1:1/3");
 
@@ -168,9 +219,9 @@
   void aFirstGroupThatWouldComeTooLateIsRefusedAtOnceAndToldWhenToComeBack() throws Exception {
     list(upstream("u1", 1, "zone"));
     for (int i = 0; i < 50; i++) {
-      submit(due("busy" + i, 4, 1, 30_000, false));
+      submit(StageGroups.due("busy" + i, 4, 1, 30_000, false));
     }
-    submit(due("late", 1, 60, 10_000, true));
+    submit(StageGroups.due("late", 1, 60, 10_000, true));
 
     StageGroupResult result = results.poll(10, TimeUnit.SECONDS);
 
@@ -181,7 +232,7 @@
   @Test
   void whatWaitedForTooLongIsGivenUp() throws Exception {
     list(upstream("u1", 1, "zone"));
-    submit(group("busy", 4));
+    submit(StageGroups.group("busy", 4));
     submit(
         new StageGroup(
             "service", "a", 1, 1, Optional.empty(), List.of(), 0, 1, "", 1, 60, 60_000, 10, false));
@@ -193,10 +244,11 @@
     MonotonicClock clock = MonotonicClock.system();
     return BatchCoordinator.builder()
         .box("box", loop, clock)
-        .upstreams(upstreams, service -> Optional.of(LIMITS))
+        .upstreams(
+            upstreams, service -> Optional.of(new BatchLimits(1, 4, 400, 1, ROOM, keptMillis)))
         .calls(caller, new FakeStageProtocol())
         .beliefs(
-            new LoadBoard(clock, EventLogs.silent()),
+            board,
             new RetryBudget(clock, 0, allowance, Duration.ofSeconds(10), () -> 1),
             EventLogs.silent())
         .build();
@@ -206,6 +258,10 @@
     loop.submit(() -> upstreams.replaceAll(1, List.of(records))).sync();
   }
 
+  private void peerHas(String upstream, LoadShare share) throws InterruptedException {
+    loop.submit(() -> board.setPeerShares("peer", Map.of(upstream, share))).sync();
+  }
+
   private void submit(StageGroup group) throws InterruptedException {
     loop.submit(() -> coordinator.submit(group, results::add)).sync();
   }
@@ -214,65 +270,6 @@
     loop.submit(() -> call.answer(200, body)).sync();
   }
 
-  private static StageGroup group(String request, int pieces) {
-    return large(request, pieces, 1);
-  }
-
-  private static StageGroup large(String request, int pieces, long bytes) {
-    return new StageGroup(
-        "service",
-        request,
-        0,
-        pieces,
-        Optional.empty(),
-        List.of(),
-        0,
-        bytes,
-        "",
-        1,
-        60_000,
-        60_000,
-        60_000,
-        false);
-  }
-
-  private static StageGroup due(
-      String request, int pieces, int priority, long dueMillis, boolean first) {
-    return new StageGroup(
-        "service",
-        request,
-        0,
-        pieces,
-        Optional.empty(),
-        List.of(),
-        0,
-        1,
-        "",
-        priority,
-        dueMillis,
-        60_000,
-        60_000,
-        first);
-  }
-
-  private static StageGroup inZone(String request, String zone, int pieces, long dueMillis) {
-    return new StageGroup(
-        "service",
-        request,
-        0,
-        pieces,
-        Optional.empty(),
-        List.of(),
-        300_000,
-        1,
-        zone,
-        1,
-        dueMillis,
-        60_000,
-        60_000,
-        false);
-  }
-
   private static UpstreamRecord upstream(String id, int number, String zone) {
     return new UpstreamRecord(id, "service", "10.0.0." + number, number, zone, 1, false);
   }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
@@ -0,0 +1,125 @@
+package org.gradeledge.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.gradeledge.batch.PiecesToCome;
+import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLogs;
+import org.gradeledge.metrics.BoxMetrics;
+import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.peer.PeerSecret;
+import org.gradeledge.peer.PeerTransport;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import reactor.netty.resources.LoopResources;
+
+/** So many boxes that heartbeats are relayed, over real connections in one process. */
+@Timeout(120)
+class ManyBoxesTests {
+
+  private static final int BOXES = 18;
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+
+  private final LoopResources loops = LoopResources.create("mesh", 1, 1, true, false);
+  private final EventLoop loop = loops.onClient(false).next();
+  private final List<BoxMesh> meshes = new ArrayList<>();
+  private final List<PeerNetwork> networks = new ArrayList<>();
+  private final List<String> addresses = new ArrayList<>();
+
+  @AfterEach
+  void stop() {
+    networks.forEach(PeerNetwork::close);
+    loops.disposeLater(Duration.ZERO, LIMIT).block(LIMIT);
+  }
+
+  @Test
+  void boxesThatKnowOneSeedAloneHearAllOthersAndGoOnHearingThem() throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      startBox();
+    }
+    await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES));
+    await(() -> meshes.stream().allMatch(BoxMesh::hearsDigests));
+    await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES));
+
+    assertThat(onLoop(() -> meshes.stream().filter(mesh -> mesh.hasDuty("duty", 6)).count()))
+        .isEqualTo(6);
+  }
+
+  @Test
+  void aBoxThatComesLaterHearsAllOthers() throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      startBox();
+    }
+    await(() -> meshes.stream().allMatch(BoxMesh::hearsDigests));
+
+    startBox();
+
+    await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES + 1));
+  }
+
+  private void startBox() throws IOException {
+    InetSocketAddress listen = new InetSocketAddress("127.0.0.1", freePort());
+    String self = "127.0.0.1:" + listen.getPort();
+    PeerNetwork network =
+        new PeerNetwork(
+            self,
+            new PeerSecret("a secret of sixteen bytes"),
+            new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops)),
+            new BoxMetrics());
+    BoxMesh mesh = newMesh(self, network);
+    networks.add(network);
+    meshes.add(mesh);
+    addresses.add(self);
+    mesh.start(listen).block(LIMIT);
+  }
+
+  private BoxMesh newMesh(String self, PeerNetwork network) {
+    List<String> seeds = addresses.isEmpty() ? List.of() : List.of(addresses.get(0));
+    MonotonicClock clock = MonotonicClock.system();
+    return new BoxMesh(
+        self,
+        "zone-" + meshes.size() % 3,
+        seeds,
+        network,
+        loop,
+        new DeploymentRegistry(
+            document -> {
+              throw new IllegalArgumentException("none is read in this test");
+            },
+            EventLogs.silent()),
+        new UpstreamRegistry(EventLogs.silent()),
+        new LoadBoard(clock, EventLogs.silent()),
+        new PiecesToCome(),
+        clock,
+        EventLogs.silent());
+  }
+
+  private void await(Callable<Boolean> condition) throws Exception {
+    while (!onLoop(condition)) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private <T> T onLoop(Callable<T> question) throws Exception {
+    return loop.submit(question).get();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/PeerBoardTests.java
@@ -0,0 +1,61 @@
+package org.gradeledge.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gradeledge.event.EventLogs;
+import org.junit.jupiter.api.Test;
+
+class PeerBoardTests {
+
+  private static final long MILLI = 1_000_000;
+
+  private long nowNanos;
+  private final PeerBoard board = new PeerBoard("self", "zone", () -> nowNanos, EventLogs.silent());
+
+  @Test
+  void aBoxThatHasJustStartedDoesNotKnowYetWhoElseIsThere() {
+    assertThat(board.settled()).isFalse();
+
+    nowNanos += 500 * MILLI;
+    assertThat(board.settled()).isTrue();
+  }
+
+  @Test
+  void aBoxWaitsWhileItStillHearsOthersForTheFirstTimeButNotForEver() {
+    nowNanos += 450 * MILLI;
+    board.heard("one", "zone", false, 0);
+    nowNanos += 200 * MILLI;
+    assertThat(board.settled()).isFalse();
+    board.heard("two", "zone", false, 0);
+    nowNanos += 290 * MILLI;
+    assertThat(board.settled()).isFalse();
+
+    board.heard("three", "zone", false, 0);
+    nowNanos += 260 * MILLI;
+
+    assertThat(board.settled()).isTrue();
+  }
+
+  @Test
+  void aBoxThatIsSilentForTooLongIsLostAndToldOfOnce() {
+    List<String> lost = new ArrayList<>();
+    board.onLost(lost::add);
+    board.heard("one", "zone", false, 400);
+    nowNanos += 700 * MILLI;
+    board.expire(1_000);
+    board.expire(1_000);
+
+    assertThat(lost).containsExactly("one");
+    assertThat(board.alive()).containsExactly("self");
+  }
+
+  @Test
+  void oneThatIsLeavingDoesNoWorkForOthers() {
+    board.heard("one", "zone", true, 0);
+
+    assertThat(board.working()).containsExactly("self");
+    assertThat(board.alive()).containsExactly("one", "self");
+  }
+}
