A soak: real boxes, links and signals that go wrong at random, judged by what callers and engines saw

Planned stops and engines that leave are played with nothing else wrong, as only then their promises can be judged. Checked: own and whole answers, at most once, 'not run' is true, a configuration never goes back, a planned stop cuts nothing, no work after the leaving bound, recovery.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -57,6 +57,11 @@
     return id;
   }
 
+  /** Returns what it does. */
+  public EngineKind kind() {
+    return kind;
+  }
+
   /** Returns where it listens. */
   public String address() {
     return "127.0.0.1:" + listener.getLocalPort();
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -0,0 +1,127 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.locks.LockSupport;
+
+/** A loopback proxy before one address, whose connections can be harmed. Thread-safe. */
+final class FaultyLink implements AutoCloseable {
+
+  /** What is wrong with the link. */
+  enum Fault {
+    /** Nothing. */
+    NONE,
+    /** Bytes arrive late. */
+    DELAY,
+    /** What is sent towards the target is lost, though the connection stays. */
+    CUT_FORTH,
+    /** What the target sends is lost, though the connection stays. */
+    CUT_BACK,
+    /** Connections are reset, new ones too. */
+    RESET
+  }
+
+  private static final long DELAY_NANOS = 60_000_000;
+  private static final int BUFFER_BYTES = 16 * 1024;
+
+  private final InetSocketAddress target;
+  private final ServerSocket listener;
+  private final List<Socket> open = new CopyOnWriteArrayList<>();
+  private volatile Fault fault = Fault.NONE;
+
+  FaultyLink(String targetAddress) throws IOException {
+    int colon = targetAddress.lastIndexOf(':');
+    this.target =
+        new InetSocketAddress(
+            targetAddress.substring(0, colon),
+            Integer.parseInt(targetAddress.substring(colon + 1)));
+    this.listener = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
+    daemon(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  void set(Fault next) {
+    fault = next;
+    if (next == Fault.RESET) {
+      open.forEach(FaultyLink::reset);
+    }
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket near = listener.accept();
+        daemon(() -> connect(near));
+      }
+    } catch (IOException e) {
+      // The link was closed.
+    }
+  }
+
+  private void connect(Socket near) {
+    if (fault == Fault.RESET) {
+      reset(near);
+      return;
+    }
+    try {
+      Socket far = new Socket();
+      far.connect(target);
+      open.add(near);
+      open.add(far);
+      daemon(() -> carry(near, far, Fault.CUT_FORTH));
+      carry(far, near, Fault.CUT_BACK);
+    } catch (IOException e) {
+      reset(near);
+    }
+  }
+
+  private void carry(Socket from, Socket to, Fault loses) {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try (from;
+        to) {
+      InputStream in = from.getInputStream();
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        if (fault == Fault.DELAY) {
+          LockSupport.parkNanos(DELAY_NANOS);
+        }
+        if (fault != loses) {
+          to.getOutputStream().write(buffer, 0, count);
+        }
+      }
+    } catch (IOException e) {
+      // One side has gone; the other follows.
+    } finally {
+      open.remove(from);
+    }
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // It is closed already.
+    }
+  }
+
+  private static void daemon(Runnable task) {
+    Thread thread = new Thread(task, "link");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    open.forEach(FaultyLink::reset);
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
@@ -0,0 +1,112 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A box of the soak: a real process, its link to the store, and where it is reached. */
+final class SoakBox implements AutoCloseable {
+
+  private final Path folder;
+  private final int number;
+  private final List<Integer> ports;
+  private final FaultyLink storeLink;
+  private final Object steps = new Object();
+  private volatile Process process;
+  private volatile int life;
+
+  SoakBox(Path folder, int number, String store) throws IOException {
+    this.folder = folder;
+    this.number = number;
+    this.ports = freePorts();
+    this.storeLink = new FaultyLink(store);
+  }
+
+  /** Returns what a step holds that stops, kills or freezes the process; callers never do. */
+  Object steps() {
+    return steps;
+  }
+
+  FaultyLink storeLink() {
+    return storeLink;
+  }
+
+  int number() {
+    return number;
+  }
+
+  int life() {
+    return life;
+  }
+
+  int callerPort() {
+    return ports.get(0);
+  }
+
+  int readyPort() {
+    return ports.get(1);
+  }
+
+  String seed() {
+    return "127.0.0.1:" + ports.get(2);
+  }
+
+  void start(List<String> seeds) throws IOException {
+    life++;
+    Path settings = folder.resolve("box-" + number + ".json");
+    Files.writeString(settings, FleetConfiguration.settings(ports, storeLink.address(), seeds));
+    File log = folder.resolve("box-" + number + ".log").toFile();
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:-UsePerfData",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xmx96m",
+            "-Xss256k",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.gradeledge.adapter.PlatformMain");
+    builder.environment().put("GRADELEDGE_SETTINGS", settings.toString());
+    builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    process = builder.start();
+  }
+
+  void kill() {
+    process.destroyForcibly().onExit().join();
+  }
+
+  /** Asks the box to stop as planned and waits until it has. */
+  int stop() {
+    process.destroy();
+    return process.onExit().join().exitValue();
+  }
+
+  void signal(String name) throws IOException {
+    new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().onExit().join();
+  }
+
+  private static List<Integer> freePorts() throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<Integer> found = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      ServerSocket socket = new ServerSocket(0);
+      sockets.add(socket);
+      found.add(socket.getLocalPort());
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return found;
+  }
+
+  @Override
+  public void close() throws IOException {
+    kill();
+    storeLink.close();
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecks.java
@@ -0,0 +1,130 @@
+package org.gradeledge.standin.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** What must hold, judged by what callers and engines saw; each method returns what broke it. */
+final class SoakChecks {
+
+  private static final Pattern EVENT_ID = Pattern.compile("(?m)^id: (\\d+)$");
+  private static final List<Integer> WHOLE_STREAM =
+      IntStream.rangeClosed(1, FleetEngine.EVENTS).boxed().toList();
+
+  private SoakChecks() {}
+
+  /** A success is the whole answer to the caller's own request. */
+  static List<String> ownAnswers(Collection<SoakCall> calls) {
+    return broken(
+        calls,
+        call -> call.hasStatus(200) && !isOwn(call),
+        call -> call.id() + " got: " + call.body());
+  }
+
+  private static boolean isOwn(SoakCall call) {
+    if (call.isOf("/resume/") || call.isOf("/staged/")) {
+      return eventIds(call.body()).equals(WHOLE_STREAM);
+    }
+    return call.body().endsWith(" to " + call.id());
+  }
+
+  private static List<Integer> eventIds(String body) {
+    List<Integer> ids = new ArrayList<>();
+    Matcher matcher = EVENT_ID.matcher(body);
+    while (matcher.find()) {
+      ids.add(Integer.parseInt(matcher.group(1)));
+    }
+    return ids;
+  }
+
+  /** What must not be repeated runs once at most. */
+  static List<String> atMostOnce(Collection<SeenRequest> ran) {
+    return runs(ran).entrySet().stream()
+        .filter(entry -> entry.getValue() > 1)
+        .map(entry -> entry.getKey() + " ran " + entry.getValue() + " times")
+        .toList();
+  }
+
+  private static Map<String, Long> runs(Collection<SeenRequest> ran) {
+    return ran.stream()
+        .filter(seen -> seen.path().startsWith("/once/"))
+        .collect(Collectors.groupingBy(seen -> seen.header("X-Request-Id"), Collectors.counting()));
+  }
+
+  /** A refusal that promises that the request has not run is true. */
+  static List<String> notRunIsTrue(Collection<SoakCall> calls, Collection<SeenRequest> ran) {
+    Set<String> didRun = runs(ran).keySet();
+    return broken(
+        calls,
+        call -> (call.hasStatus(503) || call.hasStatus(429)) && didRun.contains(call.id()),
+        call -> call.id() + " was told " + call.status().orElse(0) + " and ran");
+  }
+
+  /** Once a process has served a route that was added, it never says again that there is none. */
+  static List<String> neverBack(Collection<SoakCall> calls) {
+    Map<String, Long> served = new HashMap<>();
+    List<String> broken = new ArrayList<>();
+    calls.stream()
+        .filter(call -> call.isOf("/add-"))
+        .sorted(Comparator.comparingLong(SoakCall::sentMillis))
+        .forEach(call -> check(call, served, broken));
+    return broken;
+  }
+
+  private static void check(SoakCall call, Map<String, Long> served, List<String> broken) {
+    String process = call.box() + "/" + call.life() + call.path();
+    if (call.hasStatus(200)) {
+      served.merge(process, call.endMillis(), Math::min);
+    } else if (call.hasStatus(404)
+        && call.sentMillis() > served.getOrDefault(process, Long.MAX_VALUE)) {
+      broken.add(call.id() + ": box " + call.box() + " forgot " + call.path());
+    }
+  }
+
+  /** A planned stop cuts no request that an engine has run. */
+  static List<String> stopCutsNothing(
+      Collection<SoakCall> calls, Collection<SeenRequest> ran, Collection<PlannedStop> stops) {
+    Set<String> didRun =
+        ran.stream().map(seen -> seen.header("X-Request-Id")).collect(Collectors.toSet());
+    return broken(
+        calls,
+        call ->
+            call.status().isEmpty()
+                && didRun.contains(call.id())
+                && stops.stream().anyMatch(stop -> stop.concerns(call)),
+        call -> call.id() + " was cut by the planned stop of box " + call.box());
+  }
+
+  /**
+   * A planned stop with nothing else wrong.
+   *
+   * @param box number of the box
+   * @param life its process
+   * @param fromMillis when it was told
+   * @param untilMillis when it had ended
+   */
+  record PlannedStop(int box, int life, long fromMillis, long untilMillis) {
+
+    boolean concerns(SoakCall call) {
+      return call.box() == box
+          && call.life() == life
+          && call.sentMillis() <= untilMillis
+          && call.endMillis() >= fromMillis;
+    }
+  }
+
+  private static List<String> broken(
+      Collection<SoakCall> calls, Predicate<SoakCall> breaks, Function<SoakCall, String> text) {
+    return calls.stream().filter(breaks).map(text).toList();
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
@@ -0,0 +1,63 @@
+package org.gradeledge.standin.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Randomized faults on real boxes; a short seeded run by default. Properties: {@code soak.from},
+ * {@code soak.to} (seeds), {@code soak.seconds}, {@code soak.boxes}, {@code soak.folder} (logs).
+ */
+class SoakProcessTest {
+
+  private static final long DEFAULT_SEED = 20261202;
+
+  @Test
+  void promisesHoldUnderRandomFaults() throws Exception {
+    long from = Long.getLong("soak.from", DEFAULT_SEED);
+    long to = Long.getLong("soak.to", from);
+    Map<Long, List<String>> broken = new LinkedHashMap<>();
+    for (long seed : LongStream.rangeClosed(from, to).toArray()) {
+      List<String> found = play(seed);
+      if (!found.isEmpty()) {
+        broken.put(seed, found);
+      }
+    }
+
+    assertThat(broken).isEmpty();
+  }
+
+  private static List<String> play(long seed) throws Exception {
+    Path folder = folder(seed);
+    Duration length = Duration.ofSeconds(Long.getLong("soak.seconds", 6));
+    int boxes = Integer.getInteger("soak.boxes", 3);
+    try (SoakRun run = new SoakRun(seed, length, boxes, folder)) {
+      List<String> found = run.play();
+      System.out.printf(
+          "soak seed=%d boxes=%d seconds=%d calls=%d %s logs=%s%n",
+          seed,
+          boxes,
+          length.toSeconds(),
+          run.callCount(),
+          found.isEmpty() ? "kept" : "BROKEN " + found.get(0),
+          folder);
+      Files.write(folder.resolve("result.txt"), found);
+      return found;
+    }
+  }
+
+  private static Path folder(long seed) throws IOException {
+    String given = System.getProperty("soak.folder", "");
+    return given.isEmpty()
+        ? Files.createTempDirectory("soak-" + seed + "-")
+        : Files.createDirectories(Path.of(given, "seed-" + seed));
+  }
+}
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -0,0 +1,264 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReadWriteLock;
+import java.util.concurrent.locks.ReentrantReadWriteLock;
+
+/**
+ * One run of the soak: real boxes, stand-ins of store and engines, links that are harmed, callers,
+ * and several series of faults at a time, all drawn from one seed. A step that needs calm around it
+ * to be judged (a planned stop, an engine that leaves) holds the other series up.
+ */
+final class SoakRun implements AutoCloseable {
+
+  private static final int CALLERS_OF_BOX = 3;
+  private static final int SERIES = 3;
+  private static final long LEAVING_BOUND_MILLIS = 2_000;
+  private static final long LEAVING_SLACK_MILLIS = 500;
+  private static final Duration RECOVERY = Duration.ofSeconds(12);
+
+  private final Random seeds;
+  private final Path folder;
+  private final long endMillis;
+  private final StoreStandIn store = new StoreStandIn();
+  private final List<FleetEngine> engines = new CopyOnWriteArrayList<>();
+  private final List<FaultyLink> engineLinks = new CopyOnWriteArrayList<>();
+  private final List<SoakBox> boxes = new ArrayList<>();
+  private final List<SoakChecks.PlannedStop> stops = new CopyOnWriteArrayList<>();
+  private final List<String> broken = new CopyOnWriteArrayList<>();
+  private final List<String> steps = new CopyOnWriteArrayList<>();
+  private final ReadWriteLock calm = new ReentrantReadWriteLock(true);
+  private final SoakCallers callers;
+  private int version = 1;
+  private String routes = "";
+
+  SoakRun(long seed, Duration length, int boxCount, Path folder) throws IOException {
+    this.seeds = new Random(seed);
+    this.folder = folder;
+    this.callers = new SoakCallers("s" + seed);
+    this.endMillis = SoakCallers.millis() + length.toMillis();
+    store.put("op", "config", FleetConfiguration.of(version, routes));
+    for (EngineKind kind : EngineKind.values()) {
+      newEngine(kind);
+      newEngine(kind);
+    }
+    for (int number = 0; number < boxCount; number++) {
+      boxes.add(new SoakBox(folder, number, store.address()));
+    }
+  }
+
+  /** Plays the run; returns what was broken, with the steps that led to it. */
+  List<String> play() throws IOException, InterruptedException, ExecutionException {
+    for (SoakBox box : boxes) {
+      box.start(allSeeds());
+    }
+    for (SoakBox box : boxes) {
+      expectServing(box, "at the start");
+      callers.start(box, CALLERS_OF_BOX);
+    }
+    playSeries();
+    lift();
+    for (SoakBox box : boxes) {
+      expectServing(box, "after all faults");
+    }
+    callers.stop();
+    judge();
+    return broken.isEmpty() ? List.of() : all();
+  }
+
+  private List<String> all() {
+    List<String> text = new ArrayList<>(broken);
+    text.addAll(steps);
+    return text;
+  }
+
+  int callCount() {
+    return callers.calls().size();
+  }
+
+  private void playSeries() throws InterruptedException, ExecutionException {
+    ExecutorService series = Executors.newFixedThreadPool(SERIES);
+    List<Future<?>> running = new ArrayList<>();
+    for (int i = 0; i < SERIES; i++) {
+      Random random = new Random(seeds.nextLong());
+      running.add(series.submit(() -> playOneSeries(random)));
+    }
+    for (Future<?> each : running) {
+      each.get();
+    }
+    series.shutdown();
+  }
+
+  private Void playOneSeries(Random random) throws IOException, InterruptedException {
+    SoakStep[] all = SoakStep.values();
+    while (SoakCallers.millis() < endMillis) {
+      SoakStep step = all[random.nextInt(all.length)];
+      if (step.needsCalm()) {
+        calm.writeLock().lock();
+      } else {
+        calm.readLock().lock();
+      }
+      try {
+        note(step.name());
+        step.play(this, random);
+        note(step.name() + " over");
+      } finally {
+        if (step.needsCalm()) {
+          calm.writeLock().unlock();
+        } else {
+          calm.readLock().unlock();
+        }
+      }
+    }
+    return null;
+  }
+
+  void note(String step) {
+    steps.add(SoakCallers.millis() + " " + step);
+  }
+
+  SoakBox anyBox(Random random) {
+    return boxes.get(random.nextInt(boxes.size()));
+  }
+
+  FleetEngine anyEngine(Random random) {
+    return engines.get(random.nextInt(engines.size()));
+  }
+
+  FaultyLink anyEngineLink(Random random) {
+    return engineLinks.get(random.nextInt(engineLinks.size()));
+  }
+
+  StoreStandIn store() {
+    return store;
+  }
+
+  List<String> allSeeds() {
+    return boxes.stream().map(SoakBox::seed).toList();
+  }
+
+  /** Waits as long as a fault is to last. */
+  static void last(long millis) throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(millis);
+  }
+
+  /** Stops a box as planned while nothing else is wrong, and starts it again. */
+  void stopAsPlanned(SoakBox box) throws IOException {
+    expectServing(box, "before a planned stop");
+    long from = SoakCallers.millis();
+    int life = box.life();
+    int exit = box.stop();
+    stops.add(new SoakChecks.PlannedStop(box.number(), life, from, SoakCallers.millis()));
+    if (exit != 0) {
+      broken.add("box " + box.number() + " ended with " + exit + " after SIGTERM");
+    }
+    box.start(allSeeds());
+    expectServing(box, "after a planned stop");
+  }
+
+  /** Adds a route; it must be served everywhere within the bound for recovery, and stay. */
+  synchronized void addRoute() {
+    version++;
+    String prefix = "/add-" + version + "/";
+    routes += "," + FleetConfiguration.route(prefix, "idempotent", "plain", "");
+    store.put("op", "config", FleetConfiguration.of(version, routes));
+    callers.added(prefix);
+  }
+
+  /** Takes an engine away: after the bound it must get no new work. */
+  void leave(FleetEngine leaving) throws IOException, InterruptedException {
+    for (SoakBox box : boxes) {
+      expectServing(box, "before an engine leaves");
+    }
+    EngineKind kind = leaving.kind();
+    newEngine(kind);
+    engines.remove(leaving);
+    store.put("servers", leaving.id(), leaving.row(serviceOf(kind), "zone-a", "draining"));
+    last(LEAVING_BOUND_MILLIS + LEAVING_SLACK_MILLIS);
+    int ran = leaving.ran().size();
+    left.add(new Left(leaving, ran));
+  }
+
+  private record Left(FleetEngine engine, int ranByThen) {}
+
+  private final List<Left> left = new CopyOnWriteArrayList<>();
+
+  private void newEngine(EngineKind kind) throws IOException {
+    FleetEngine engine = new FleetEngine("i-" + kind + "-" + seeds.nextInt(1_000_000), kind);
+    FaultyLink link = new FaultyLink(engine.address());
+    engineLinks.add(link);
+    engines.add(engine);
+    String row = engine.row(serviceOf(kind), "zone-a", "ready");
+    store.put("servers", engine.id(), row.replace(engine.address(), link.address()));
+  }
+
+  private static String serviceOf(EngineKind kind) {
+    return switch (kind) {
+      case PLAIN -> "plain";
+      case STREAM -> "model";
+      case STAGE -> "stage";
+    };
+  }
+
+  private void lift() throws IOException {
+    store.setFault(StoreFault.NONE);
+    engines.forEach(engine -> engine.setFault(EngineFault.NONE));
+    engineLinks.forEach(link -> link.set(FaultyLink.Fault.NONE));
+    boxes.forEach(box -> box.storeLink().set(FaultyLink.Fault.NONE));
+  }
+
+  /** Notes a box that does not serve every kind of request within the bound for recovery. */
+  private void expectServing(SoakBox box, String when) {
+    long until = SoakCallers.millis() + RECOVERY.toMillis();
+    HttpClient client = SoakCallers.newClient();
+    for (String path : List.of("/once/", "/again/", "/resume/", "/staged/")) {
+      SoakCall call = callers.call(client, box, path);
+      while (!call.hasStatus(200) && SoakCallers.millis() < until) {
+        call = callers.call(client, box, path);
+      }
+      if (!call.hasStatus(200)) {
+        broken.add("box " + box.number() + " does not serve " + path + " " + when + ": " + call);
+      }
+    }
+  }
+
+  private void judge() {
+    List<SeenRequest> ran = new ArrayList<>();
+    engines.forEach(engine -> ran.addAll(engine.ran()));
+    left.forEach(each -> ran.addAll(each.engine().ran()));
+    broken.addAll(SoakChecks.ownAnswers(callers.calls()));
+    broken.addAll(SoakChecks.atMostOnce(ran));
+    broken.addAll(SoakChecks.notRunIsTrue(callers.calls(), ran));
+    broken.addAll(SoakChecks.neverBack(callers.calls()));
+    broken.addAll(SoakChecks.stopCutsNothing(callers.calls(), ran, stops));
+    left.stream()
+        .filter(each -> each.engine().ran().size() > each.ranByThen())
+        .forEach(each -> broken.add(each.engine().id() + " got work after it had left"));
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (SoakBox box : boxes) {
+      box.close();
+    }
+    for (FaultyLink link : engineLinks) {
+      link.close();
+    }
+    for (FleetEngine engine : engines) {
+      engine.close();
+    }
+    store.close();
+  }
+}
