--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -1,9 +1,7 @@
 package org.gradeledge.standin.fleet;
 
-import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -57,7 +55,7 @@
 
   /** Starts a box and waits until it is ready. */
   void startBox() throws Exception {
-    List<Integer> ports = freePorts(4);
+    List<Integer> ports = FreePorts.find(4);
     LoopResources resources = LoopResources.create("box-" + boxes.size(), 1, 1, true, false);
     EventLog events = new EventLog(new PrintStream(OutputStream.nullOutputStream()), "box");
     byte[] settings =
@@ -134,20 +132,6 @@
     boolean holds() throws Exception;
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
-
   @Override
   public void close() throws Exception {
     for (FleetEngine engine : engines) {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
@@ -2,15 +2,15 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 
 /** A box of the soak: a real process, its link to the store, and where it is reached. */
 final class SoakBox implements AutoCloseable {
 
+  private static final int PORTS = 4;
+
   private final Path folder;
   private final int number;
   private final List<Integer> ports;
@@ -22,7 +22,7 @@
   SoakBox(Path folder, int number, String store) throws IOException {
     this.folder = folder;
     this.number = number;
-    this.ports = freePorts();
+    this.ports = FreePorts.find(PORTS);
     this.storeLink = new FaultyLink(store);
   }
 
@@ -90,20 +90,6 @@
     new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().onExit().join();
   }
 
-  private static List<Integer> freePorts() throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> found = new ArrayList<>();
-    for (int i = 0; i < 4; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      found.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return found;
-  }
-
   @Override
   public void close() throws IOException {
     kill();
