--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -83,9 +84,10 @@
   }
 
   private <T> void subscribe(Mono<T> call, Consumer<T> taker) {
-    call.subscribe(
-        answer -> loop.execute(() -> answered(answer, taker)),
-        failure -> loop.execute(() -> failed(failure)));
+    call.switchIfEmpty(Mono.error(() -> new IOException("no answer")))
+        .subscribe(
+            answer -> loop.execute(() -> answered(answer, taker)),
+            failure -> loop.execute(() -> failed(failure)));
   }
 
   private <T> void answered(T answer, Consumer<T> taker) {
--- a/gradeledge-core/src/main/java/org/gradeledge/metrics/BoxMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/metrics/BoxMetrics.java
@@ -23,6 +23,7 @@
 public final class BoxMetrics {
 
   private final PrometheusRegistry registry = new PrometheusRegistry();
+  private boolean processIncluded;
 
   private final Counter requests =
       Counter.builder()
@@ -89,11 +90,6 @@
           .labelNames("change")
           .register(registry);
 
-  /** Creates the metrics; the process's own figures are included. */
-  public BoxMetrics() {
-    JvmMetrics.builder().register(registry);
-  }
-
   /** Counts an answered request. */
   public void request(String pipeline, String account, String verdict, String reason, long nanos) {
     requests.labelValues(pipeline, account, verdict, reason).inc();
@@ -145,8 +141,9 @@
         .register(registry);
   }
 
-  /** Returns all metrics in the Prometheus text format. */
+  /** Returns all metrics and the process's own figures in the Prometheus text format. */
   public byte[] exposition() {
+    includeProcess();
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     try {
       PrometheusTextFormatWriter.create().write(out, registry.scrape());
@@ -155,4 +152,12 @@
     }
     return out.toByteArray();
   }
+
+  /** The process's figures load much of the JVM's management, which a box need not wait for. */
+  private synchronized void includeProcess() {
+    if (!processIncluded) {
+      processIncluded = true;
+      JvmMetrics.builder().register(registry);
+    }
+  }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
@@ -68,6 +68,20 @@
     assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 5 [d] []");
   }
 
+  @Test
+  void aCallThatEndsWithoutAnAnswerIsAFailureLikeOthers() throws Exception {
+    ScriptedTable table = new ScriptedTable();
+    table.reads.add(Mono.empty());
+    table.reads.add(Mono.just(new TableContent(4, List.of())));
+    table.changes.add(Mono.empty());
+    table.changes.add(Mono.just(new TableChanges(5, List.of(row("d")), List.of())));
+
+    follow(table);
+
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("content 4 []");
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 5 [d] []");
+  }
+
   @Test
   void tellsOfAnOutageButNotOfASingleFailure() throws Exception {
     ScriptedTable table = new ScriptedTable();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -98,7 +98,8 @@
         }
       }
     } catch (IOException e) {
-      // One side has gone; the other follows.
+      // A reset is passed on as a reset: an answer without length that is reset is not whole.
+      reset(to);
     } finally {
       open.remove(from);
     }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetConfiguration.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetConfiguration.java
@@ -49,6 +49,7 @@
         "{\"node_name\":\"box-%d\",\"zone\":\"zone-a\",\"ip\":\"127.0.0.1\","
             + "\"listen_addresses\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\","
             + "\"control\":\"127.0.0.1:%d\"},\"internal_ports\":[%d,%d],\"seeds\":[%s],"
+            + "\"peer_secret\":\"a secret of the fleet\","
             + "\"bounds\":{\"retry_budget_ratio\":0.2,\"budget_extra_retries\":60,"
             + "\"budget_window_s\":10,\"grace_s\":2,\"drain_ms\":2000},"
             + "\"platform\":{\"address\":\"%s\"}}",
