--- a/soak.sh
+++ b/soak.sh
@@ -18,4 +18,4 @@
 mvn -q -B verify -pl gradeledge-standin -am -Dtest=NoTests -Dsurefire.failIfNoSpecifiedTests=false \
   -Dit.test=SoakProcessTest -Dfailsafe.failIfNoSpecifiedTests=false \
   -Dsoak.from="$from" -Dsoak.to="${to:-$from}" -Dsoak.seconds="$seconds" -Dsoak.boxes="$boxes" \
-  -Dsoak.folder="$PWD/target/soak"
+  -Dsoak.patience=1 -Dsoak.folder="$PWD/target/soak"
