--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -25,9 +25,9 @@
 import reactor.netty.DisposableServer;
 
 /**
- * Keeps the boxes of a deployment in touch: each tells all others what it has in force and under
- * way, and learns from them what it could not read itself. A box is named by the address that it
- * listens on for peers.
+ * Keeps the boxes of a deployment in touch: each tells the others what it has in force and under
+ * way, straight or over relays, and learns from them what it could not read itself. A box is named
+ * by the address that it listens on for peers.
  *
  * <p>Confined to the event loop.
  *
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -29,6 +29,9 @@
   private static final long LEAVING_SLACK_MILLIS = 500;
   private static final Duration RECOVERY = Duration.ofSeconds(12);
 
+  /** An engine that has left, and how many requests it had run when its bound was over. */
+  private record Left(FleetEngine engine, int ranByThen) {}
+
   private final Random seeds;
   private final Path folder;
   private final int patience;
@@ -37,6 +40,7 @@
   private final List<FleetEngine> engines = new CopyOnWriteArrayList<>();
   private final List<FaultyLink> engineLinks = new CopyOnWriteArrayList<>();
   private final List<SoakBox> boxes = new ArrayList<>();
+  private final List<Left> left = new CopyOnWriteArrayList<>();
   private final List<SoakChecks.PlannedStop> stops = new CopyOnWriteArrayList<>();
   private final List<String> broken = new CopyOnWriteArrayList<>();
   private final List<String> steps = new CopyOnWriteArrayList<>();
@@ -175,7 +179,7 @@
     expectServing(box, "after a planned stop");
   }
 
-  /** Adds a route; it must be served everywhere within the bound for recovery, and stay. */
+  /** Adds a route, which callers ask for from then on. */
   synchronized void addRoute() {
     version++;
     String prefix = "/add-" + version + "/";
@@ -194,14 +198,9 @@
     engines.remove(leaving);
     store.put("servers", leaving.id(), leaving.row(serviceOf(kind), "zone-a", "draining"));
     last((LEAVING_BOUND_MILLIS + LEAVING_SLACK_MILLIS) * patience);
-    int ran = leaving.ran().size();
-    left.add(new Left(leaving, ran));
+    left.add(new Left(leaving, leaving.ran().size()));
   }
 
-  private record Left(FleetEngine engine, int ranByThen) {}
-
-  private final List<Left> left = new CopyOnWriteArrayList<>();
-
   private void newEngine(EngineKind kind) throws IOException {
     FleetEngine engine = new FleetEngine("i-" + kind + "-" + seeds.nextInt(1_000_000), kind);
     FaultyLink link = new FaultyLink(engine.address());
