--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -85,26 +85,32 @@
   }
 
   private void carry(Socket from, Socket to, Fault loses) {
-    byte[] buffer = new byte[BUFFER_BYTES];
-    try (from;
-        to) {
-      InputStream in = from.getInputStream();
-      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-        if (fault == Fault.DELAY) {
-          LockSupport.parkNanos(DELAY_NANOS);
-        }
-        if (fault != loses) {
-          to.getOutputStream().write(buffer, 0, count);
-        }
-      }
+    try {
+      copy(from, to, loses);
+      from.close();
+      to.close();
     } catch (IOException e) {
       // A reset is passed on as a reset: an answer without length that is reset is not whole.
       reset(to);
+      reset(from);
     } finally {
       open.remove(from);
     }
   }
 
+  private void copy(Socket from, Socket to, Fault loses) throws IOException {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    InputStream in = from.getInputStream();
+    for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+      if (fault == Fault.DELAY) {
+        LockSupport.parkNanos(DELAY_NANOS);
+      }
+      if (fault != loses) {
+        to.getOutputStream().write(buffer, 0, count);
+      }
+    }
+  }
+
   private static void reset(Socket socket) {
     try {
       socket.setSoLinger(true, 0);
