One collector for the bodies of answers; a sum without boxing

BatchCall and WholeAnswerAttempt gathered a body by the same lines; AnswerBody in the connection package serves both, with the bounds as they were. PiecesToCome sums its own counts without a list of boxed numbers, which it made for each service, priority and heartbeat.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -2,9 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
+import org.gradeledge.connection.AnswerBody;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
 
@@ -27,7 +27,7 @@
   private final List<StagePiece> pieces;
   private final long startNanos;
   private final Listener listener;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body = new AnswerBody(MOST_BYTES);
   private int status;
   private boolean over;
 
@@ -69,18 +69,14 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    if (body.size() + content.readableBytes() > MOST_BYTES) {
+    if (!body.add(content)) {
       onFailure(CallFailure.GARBLED);
-      return;
     }
-    byte[] bytes = new byte[content.readableBytes()];
-    content.readBytes(bytes);
-    body.writeBytes(bytes);
   }
 
   @Override
   public void onComplete() {
-    end(() -> listener.answered(this, status, body.toByteArray()));
+    end(() -> listener.answered(this, status, body.bytes()));
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
@@ -61,8 +61,8 @@
             .map(counts -> counts.getOrDefault(service, List.of()))
             .mapToLong(counts -> sum(counts, priority))
             .sum();
-    long[] pieces = own.getOrDefault(service, new long[PRIORITIES]);
-    return ofPeers + sum(Arrays.stream(pieces).boxed().toList(), priority);
+    long[] ofOwn = own.getOrDefault(service, new long[PRIORITIES]);
+    return ofPeers + Arrays.stream(ofOwn, 0, level(priority) + 1).sum();
   }
 
   private static long sum(List<Long> counts, int priority) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/WholeAnswerAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/WholeAnswerAttempt.java
@@ -4,7 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
+import org.gradeledge.connection.AnswerBody;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.discovery.UpstreamRecord;
 
@@ -14,7 +14,7 @@
   private static final int MOST_BYTES = 16 * 1024 * 1024;
 
   private final AttemptListener listener;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body = new AnswerBody(MOST_BYTES);
   private int status;
   private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
@@ -36,13 +36,9 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    if (body.size() + content.readableBytes() > MOST_BYTES) {
+    if (!body.add(content)) {
       onFailure(CallFailure.GARBLED);
-      return;
     }
-    byte[] bytes = new byte[content.readableBytes()];
-    content.readBytes(bytes);
-    body.writeBytes(bytes);
   }
 
   @Override
@@ -53,6 +49,6 @@
   @Override
   void onWhole() {
     noteStatus(status);
-    listener.answered(this, status, headers, Unpooled.wrappedBuffer(body.toByteArray()));
+    listener.answered(this, status, headers, Unpooled.wrappedBuffer(body.bytes()));
   }
 }
