--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -211,9 +211,10 @@
 
   /** What keeps an upstream full is calls, of which one ends within the time of a call. */
   private void pauseFull(BatchCall call) {
-    BatchLimits limits = services.limits(service).orElseThrow();
-    long millis = (long) (limits.expectedMillis(1) * FULL_PART_OF_CALL);
-    services.board().pause(call.target().upstream(), millis);
+    services
+        .limits(service)
+        .map(limits -> (long) (limits.expectedMillis(1) * FULL_PART_OF_CALL))
+        .ifPresent(millis -> services.board().pause(call.target().upstream(), millis));
   }
 
   private void ended(BatchCall call) {
