--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -7,6 +7,7 @@
 import org.gradeledge.connection.AnswerBody;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
+import org.gradeledge.deployment.BatchLimits;
 
 /** One call for a batch of pieces; gathers the answer. Confined to the event loop. */
 final class BatchCall implements CallListener {
@@ -25,15 +26,22 @@
 
   private final BatchUpstream target;
   private final List<StagePiece> pieces;
+  private final BatchLimits limits;
   private final long startNanos;
   private final Listener listener;
   private final AnswerBody body = new AnswerBody(MOST_BYTES);
   private int status;
   private boolean over;
 
-  BatchCall(BatchUpstream target, List<StagePiece> pieces, long startNanos, Listener listener) {
+  BatchCall(
+      BatchUpstream target,
+      List<StagePiece> pieces,
+      BatchLimits limits,
+      long startNanos,
+      Listener listener) {
     this.target = target;
     this.pieces = pieces;
+    this.limits = limits;
     this.startNanos = startNanos;
     this.listener = listener;
   }
@@ -46,6 +54,11 @@
     return pieces;
   }
 
+  /** Returns the limits that held for the service when the call was made. */
+  BatchLimits limits() {
+    return limits;
+  }
+
   long startNanos() {
     return startNanos;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -86,6 +86,15 @@
         .collect(Collectors.toMap(Map.Entry::getKey, each -> byPriority(each.getValue())));
   }
 
+  /**
+   * Returns how long what waits here for a service, or is on its way to it, and is as urgent as a
+   * priority or more keeps its upstreams busy, in milliseconds.
+   */
+  public long backlogMillisOf(String service, int priority) {
+    BatchQueue queue = queues.get(service);
+    return queue == null ? 0 : queue.backlogMillis(priority);
+  }
+
   private static List<Long> byPriority(BatchQueue queue) {
     return IntStream.range(0, PiecesToCome.PRIORITIES).mapToObj(queue::backlogMillis).toList();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -146,12 +146,12 @@
         waiting.take(
             limits.itemsPerCall(),
             upstreams.roomBytes(target, limits),
-            group -> upstreams.suits(target, group, limits, now));
+            upstreams.suiting(target, limits, now));
     if (chosen.isEmpty()) {
       return false;
     }
     chosen.forEach(piece -> piece.group().settleIn(target.upstream().zone()));
-    BatchCall call = new BatchCall(target, chosen, now, this);
+    BatchCall call = new BatchCall(target, chosen, limits, now, this);
     double expected = target.expectedMillis(limits, chosen.size());
     target.started(call.resultBytes(), expected, now);
     services.board().started(target.upstream(), call.resultBytes());
@@ -211,10 +211,8 @@
 
   /** What keeps an upstream full is calls, of which one ends within the time of a call. */
   private void pauseFull(BatchCall call) {
-    services
-        .limits(service)
-        .map(limits -> (long) (limits.expectedMillis(1) * FULL_PART_OF_CALL))
-        .ifPresent(millis -> services.board().pause(call.target().upstream(), millis));
+    long millis = (long) (call.limits().expectedMillis(1) * FULL_PART_OF_CALL);
+    services.board().pause(call.target().upstream(), millis);
   }
 
   private void ended(BatchCall call) {
@@ -224,7 +222,7 @@
 
   private void take(BatchCall call, List<PieceResult> results) {
     double millis = (services.clock().nanos() - call.startNanos()) / 1e6;
-    BatchLimits limits = services.limits(service).orElseThrow();
+    BatchLimits limits = call.limits();
     if (results.stream().allMatch(result -> result.kind() == PieceResult.Kind.MADE)) {
       call.target().measured(millis / limits.expectedMillis(call.pieces().size()));
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -4,6 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRecord;
 
@@ -77,16 +80,20 @@
   }
 
   /**
-   * Returns whether an upstream may make a group's pieces now. Pieces wait a while for an upstream
-   * of the zone that their inputs lie in or their results are wanted in (delay scheduling), unless
-   * they are in a hurry.
+   * Returns whose pieces an upstream may make now. Pieces wait a while for an upstream of the zone
+   * that their inputs lie in or their results are wanted in (delay scheduling), unless they are in
+   * a hurry.
    */
-  boolean suits(BatchUpstream target, GroupInProgress group, BatchLimits limits, long now) {
-    return group.zone().isEmpty()
-        || group.zone().equals(target.upstream().zone())
-        || group.waitedMillis(now) >= group.patienceMillis()
-        || !group.inTimeAfter(limits.expectedMillis(1) * HURRY_CALLS, now)
-        || usable().stream().noneMatch(each -> each.upstream().zone().equals(group.zone()));
+  Predicate<GroupInProgress> suiting(BatchUpstream target, BatchLimits limits, long now) {
+    Set<String> zones =
+        usable().stream().map(each -> each.upstream().zone()).collect(Collectors.toSet());
+    double hurryMillis = limits.expectedMillis(1) * HURRY_CALLS;
+    return group ->
+        group.zone().isEmpty()
+            || group.zone().equals(target.upstream().zone())
+            || group.waitedMillis(now) >= group.patienceMillis()
+            || !group.inTimeAfter(hurryMillis, now)
+            || !zones.contains(group.zone());
   }
 
   private long occupiedBytes(BatchUpstream target) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
@@ -2,11 +2,13 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.time.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * How much room results take at the upstreams of a service, and which upstreams said that they have
@@ -24,7 +26,8 @@
 
   private final MonotonicClock clock;
   private final LoadBoard board;
-  private final Map<String, Held> byHandle = new HashMap<>();
+  private final Map<String, Held> byHandle = new LinkedHashMap<>();
+  private final Map<String, Long> bytesByUpstream = new HashMap<>();
   private final Map<String, Full> full = new HashMap<>();
 
   HeldResults(MonotonicClock clock, LoadBoard board) {
@@ -35,7 +38,8 @@
   /** Notes a result, which is there until it is given up or has been kept long enough. */
   void add(String handle, String upstream, long bytes, long keptMillis) {
     full.remove(upstream);
-    board.hold(upstream, bytes);
+    remove(List.of(handle));
+    count(upstream, bytes);
     byHandle.put(handle, new Held(upstream, bytes, after(keptMillis)));
   }
 
@@ -67,25 +71,34 @@
 
   long bytesAt(String upstream) {
     expire();
-    return byHandle.values().stream()
-        .filter(held -> held.upstream().equals(upstream))
-        .mapToLong(Held::bytes)
-        .sum();
+    return bytesByUpstream.getOrDefault(upstream, 0L);
   }
 
-  /** Gives back the room of results that have been kept long enough, whoever has forgotten them. */
+  /**
+   * Gives back the room of results that have been kept long enough, whoever has forgotten them. All
+   * are kept equally long, so that the oldest come first.
+   */
   void expire() {
     long now = clock.nanos();
     List<String> expired =
         byHandle.entrySet().stream()
-            .filter(entry -> entry.getValue().untilNanos() - now < 0)
+            .takeWhile(entry -> entry.getValue().untilNanos() - now < 0)
             .map(Map.Entry::getKey)
             .toList();
     remove(expired);
   }
 
   private void giveBack(Held held) {
-    board.hold(held.upstream(), -held.bytes());
+    count(held.upstream(), -held.bytes());
+  }
+
+  private void count(String upstream, long bytes) {
+    board.hold(upstream, bytes);
+    bytesByUpstream.merge(upstream, bytes, (before, more) -> emptyIfNone(before + more));
+  }
+
+  private static @Nullable Long emptyIfNone(long bytes) {
+    return bytes == 0 ? null : bytes;
   }
 
   private long after(long millis) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -79,7 +80,7 @@
 
   /** Takes out the most urgent pieces that a call has place and room for. */
   List<StagePiece> take(int most, long roomBytes, Predicate<GroupInProgress> suits) {
-    List<StagePiece> chosen = new ArrayList<>();
+    Set<StagePiece> chosen = new LinkedHashSet<>();
     long left = roomBytes;
     for (StagePiece piece : pieces) {
       long bytes = piece.group().group().resultBytes();
@@ -88,7 +89,7 @@
         left -= bytes;
       }
     }
-    pieces.removeAll(chosen);
-    return chosen;
+    pieces.removeIf(chosen::contains);
+    return List.copyOf(chosen);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -38,6 +38,8 @@
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
+  private final Map<String, String> coordinators = new HashMap<>();
+  private Set<String> coordinatorsAmong = Set.of();
 
   /** A group that another box works on. */
   private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
@@ -98,8 +100,18 @@
             failure -> loop.execute(() -> takeOver(placement)));
   }
 
+  /** Each request asks several times, and the answer changes only where a box comes or goes. */
   private String coordinator(String service) {
-    return peers.working().stream()
+    Set<String> working = peers.working();
+    if (working != coordinatorsAmong) {
+      coordinatorsAmong = working;
+      coordinators.clear();
+    }
+    return coordinators.computeIfAbsent(service, name -> firstOf(working, name));
+  }
+
+  private String firstOf(Set<String> boxes, String service) {
+    return boxes.stream()
         .max(Comparator.comparingLong(box -> RendezvousHash.weight(service, box)))
         .orElse(self);
   }
@@ -130,9 +142,11 @@
   @Override
   public long backlogMillis(String service, int priority) {
     String box = coordinator(service);
-    Map<String, List<Long>> told =
-        box.equals(self) ? local.backlogMillis() : toldBacklogs.getOrDefault(box, Map.of());
-    List<Long> byPriority = told.getOrDefault(service, List.of());
+    if (box.equals(self)) {
+      return local.backlogMillisOf(service, priority);
+    }
+    List<Long> byPriority =
+        toldBacklogs.getOrDefault(box, Map.of()).getOrDefault(service, List.of());
     return byPriority.isEmpty() ? 0 : byPriority.get(Math.min(priority, byPriority.size() - 1));
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
@@ -1,6 +1,7 @@
 package org.gradeledge.mesh;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +20,13 @@
   private static final long NOBODY_NEW_MILLIS = 300;
   private static final long LAST_LOOK_MILLIS = 1_200;
 
-  private record Seen(long nanos, String zone, boolean leaving, boolean alive) {}
+  private record Seen(long nanos, String zone, boolean leaving, boolean alive) {
+
+    /** Returns whether anything but the time is not as it was. */
+    boolean differs(Seen before) {
+      return alive != before.alive || leaving != before.leaving || !zone.equals(before.zone);
+    }
+  }
 
   private final String self;
   private final String zone;
@@ -30,6 +37,9 @@
   private final long startNanos;
   private long newestNanos;
   private boolean leaving;
+  private Set<String> alive = Set.of();
+  private Set<String> working = Set.of();
+  private Set<String> zones = Set.of();
 
   PeerBoard(String self, String zone, MonotonicClock clock, EventLog events) {
     this.self = self;
@@ -38,6 +48,7 @@
     this.startNanos = clock.nanos();
     this.newestNanos = startNanos;
     this.events = events;
+    lookAgain();
   }
 
   void onLost(Consumer<String> listener) {
@@ -46,12 +57,17 @@
 
   void leave() {
     leaving = true;
+    lookAgain();
   }
 
   /** Notes what a box told so many milliseconds ago. */
   void heard(String box, String boxZone, boolean boxLeaving, long ageMillis) {
     long nanos = clock.nanos() - ageMillis * 1_000_000;
-    Seen before = seen.put(box, new Seen(nanos, boxZone, boxLeaving, true));
+    Seen now = new Seen(nanos, boxZone, boxLeaving, true);
+    Seen before = seen.put(box, now);
+    if (before == null || now.differs(before)) {
+      lookAgain();
+    }
     if (before == null || !before.alive()) {
       newestNanos = clock.nanos();
       events.change("peer-heard").with("peer", box).write();
@@ -69,10 +85,12 @@
     long silent = (now - last.nanos()) / 1_000_000;
     if (last.alive() && silent > silentMillis) {
       seen.put(box, new Seen(last.nanos(), last.zone(), last.leaving(), false));
+      lookAgain();
       events.change("peer-lost").with("peer", box).with("silent-ms", silent).write();
       lostListeners.forEach(listener -> listener.accept(box));
     } else if (silent > FORGET_MILLIS) {
       seen.remove(box);
+      lookAgain();
     }
   }
 
@@ -101,28 +119,37 @@
 
   /** Returns the zones of all boxes that were heard, and the own one. */
   Set<String> zones() {
-    Set<String> zones = new TreeSet<>();
-    zones.add(zone);
-    seen.values().forEach(last -> zones.add(last.zone()));
     return zones;
   }
 
-  /** Returns the boxes that are heard, this one included. */
+  /** Returns the boxes that are heard, this one included; the same set until one changes. */
   Set<String> alive() {
-    Set<String> boxes = new TreeSet<>();
-    boxes.add(self);
-    seen.forEach((box, last) -> addIf(last.alive(), boxes, box));
-    return boxes;
+    return alive;
   }
 
-  /** Returns the boxes that do work for others; this one counts where there is no other. */
+  /**
+   * Returns the boxes that do work for others; this one counts where there is no other. It is the
+   * same set until one of them changes.
+   */
   Set<String> working() {
-    Set<String> boxes = new TreeSet<>();
-    seen.forEach((box, last) -> addIf(last.alive() && !last.leaving(), boxes, box));
-    if (!leaving || boxes.isEmpty()) {
-      boxes.add(self);
-    }
-    return boxes;
+    return working;
+  }
+
+  /** These are asked for many times a request, and change only where a box comes or goes. */
+  private void lookAgain() {
+    Set<String> zonesNow = new TreeSet<>(Set.of(zone));
+    Set<String> aliveNow = new TreeSet<>(Set.of(self));
+    Set<String> workingNow = new TreeSet<>();
+    seen.forEach(
+        (box, last) -> {
+          zonesNow.add(last.zone());
+          addIf(last.alive(), aliveNow, box);
+          addIf(last.alive() && !last.leaving(), workingNow, box);
+        });
+    addIf(!leaving || workingNow.isEmpty(), workingNow, self);
+    zones = Collections.unmodifiableSet(zonesNow);
+    alive = Collections.unmodifiableSet(aliveNow);
+    working = Collections.unmodifiableSet(workingNow);
   }
 
   private static void addIf(boolean condition, Set<String> boxes, String box) {
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLog;
@@ -19,6 +21,7 @@
   private final MonotonicClock clock;
   private final EventLog events;
   private final Map<String, UpstreamLoad> byId = new HashMap<>();
+  private final Map<String, Set<String>> toldByBox = new HashMap<>();
 
   /** Creates a board that knows nothing. */
   public LoadBoard(MonotonicClock clock, EventLog events) {
@@ -101,8 +104,21 @@
 
   /** Takes the place of what a peer told before. */
   public void setPeerShares(String box, Map<String, LoadShare> shares) {
-    byId.forEach((id, load) -> load.dropShare(box));
+    Set<String> before = toldByBox.getOrDefault(box, Set.of());
+    before.stream()
+        .filter(id -> !shares.containsKey(id))
+        .flatMap(id -> Optional.ofNullable(byId.get(id)).stream())
+        .forEach(load -> load.dropShare(box));
     shares.forEach((id, share) -> load(id).setShare(box, share));
+    noteTold(box, shares.keySet());
+  }
+
+  private void noteTold(String box, Set<String> upstreams) {
+    if (upstreams.isEmpty()) {
+      toldByBox.remove(box);
+    } else {
+      toldByBox.put(box, Set.copyOf(upstreams));
+    }
   }
 
   /** Returns what this box has under way, by upstream. */
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
@@ -46,10 +46,7 @@
       return withoutAffinity.choose(candidates, demand);
     }
     String key = demand.affinity().get();
-    List<UpstreamRecord> ranked =
-        inZoneIfWorth(board.preferred(candidates), demand).stream()
-            .sorted(Comparator.comparingLong(each -> -RendezvousHash.weight(key, each.id())))
-            .toList();
+    List<UpstreamRecord> ranked = ranked(inZoneIfWorth(board.preferred(candidates), demand), key);
     double mean = ranked.stream().mapToLong(this::tokens).average().orElse(0);
     double bound = (mean + demand.tokens()) * MOST_OF_MEAN;
     return ranked.stream()
@@ -58,6 +55,16 @@
         .or(() -> ranked.stream().min(Comparator.comparingLong(this::tokens)));
   }
 
+  private record Ranked(UpstreamRecord upstream, long weight) {}
+
+  private static List<UpstreamRecord> ranked(List<UpstreamRecord> all, String key) {
+    return all.stream()
+        .map(each -> new Ranked(each, RendezvousHash.weight(key, each.id())))
+        .sorted(Comparator.comparingLong(Ranked::weight).reversed())
+        .map(Ranked::upstream)
+        .toList();
+  }
+
   private static List<UpstreamRecord> inZoneIfWorth(List<UpstreamRecord> all, Demand demand) {
     if (demand.zoneBytes() <= demand.sharedTokens() * BYTES_OF_TOKEN) {
       return all;
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** What the box knows of one upstream's load and health. Confined to the event loop. */
 final class UpstreamLoad {
@@ -13,6 +14,8 @@
   private static final long LONGEST_PAUSE_MILLIS = 4_000;
 
   private final Map<String, LoadShare> ofPeers = new HashMap<>();
+  private int peersRunning;
+  private long peersTokens;
   private int running;
   private long tokens;
   private double latencyMillis;
@@ -68,11 +71,20 @@
   }
 
   void setShare(String box, LoadShare share) {
-    ofPeers.put(box, share);
+    countOut(ofPeers.put(box, share));
+    peersRunning += share.running();
+    peersTokens += share.tokens();
   }
 
   void dropShare(String box) {
-    ofPeers.remove(box);
+    countOut(ofPeers.remove(box));
+  }
+
+  private void countOut(@Nullable LoadShare share) {
+    if (share != null) {
+      peersRunning -= share.running();
+      peersTokens -= share.tokens();
+    }
   }
 
   LoadShare own() {
@@ -85,11 +97,11 @@
   }
 
   int peersRunning() {
-    return ofPeers.values().stream().mapToInt(LoadShare::running).sum();
+    return peersRunning;
   }
 
   long peersTokens() {
-    return ofPeers.values().stream().mapToLong(LoadShare::tokens).sum();
+    return peersTokens;
   }
 
   int totalRunning() {
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/RemovedServiceTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/RemovedServiceTests.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
@@ -62,6 +64,20 @@
     assertThat(caller.next().body()).isEqualTo("a:0 b:0");
   }
 
+  @Test
+  void piecesThatWereMadeMeanwhileAreHandedOn() throws Exception {
+    UpstreamRecord upstream = new UpstreamRecord("u1", "service", "10.0.0.1", 1, "zone", 1, false);
+    loop.submit(() -> upstreams.replaceAll(1, List.of(upstream))).sync();
+    BlockingQueue<StageGroupResult> results = new LinkedBlockingQueue<>();
+    loop.submit(() -> coordinator.submit(StageGroups.group("a", 1), results::add)).sync();
+    FakeUpstreamCaller.Call call = caller.next();
+
+    limits = Optional.empty();
+    loop.submit(() -> call.answer(200, "10.0.0.1:1/a")).sync();
+
+    assertThat(results.take().handles()).containsExactly("10.0.0.1:1/a");
+  }
+
   private void submit(String request) throws InterruptedException {
     loop.submit(() -> coordinator.submit(StageGroups.group(request, 1), result -> {})).sync();
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/PeerBoardTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/PeerBoardTests.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.gradeledge.event.EventLogs;
 import org.junit.jupiter.api.Test;
 
@@ -58,4 +59,20 @@
     assertThat(board.working()).containsExactly("self");
     assertThat(board.alive()).containsExactly("one", "self");
   }
+
+  @Test
+  void whoWorksIsLookedAtAgainOnlyWhereABoxComesGoesOrLeaves() {
+    board.heard("one", "zone", false, 0);
+    Set<String> before = board.working();
+    board.heard("one", "zone", false, 0);
+    assertThat(board.working()).isSameAs(before);
+
+    board.heard("one", "zone", true, 0);
+    assertThat(board.working()).containsExactly("self");
+
+    board.leave();
+    board.heard("two", "other-zone", false, 0);
+    assertThat(board.working()).containsExactly("two");
+    assertThat(board.zones()).containsExactly("other-zone", "zone");
+  }
 }
