--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/Main.java
@@ -3,6 +3,7 @@
 import org.gradeledge.standin.demo.DemoFilesCommand;
 import org.gradeledge.standin.demo.PlainPipelineCommand;
 import org.gradeledge.standin.engine.EnginesCommand;
+import org.gradeledge.standin.fleet.FleetCommand;
 import org.gradeledge.standin.load.LoadCommand;
 import org.gradeledge.standin.measure.ChangesCommand;
 import org.gradeledge.standin.measure.OverheadCommand;
@@ -24,7 +25,8 @@
       LoadCommand.class,
       OverheadCommand.class,
       ChangesCommand.class,
-      PoliciesCommand.class
+      PoliciesCommand.class,
+      FleetCommand.class
     })
 public final class Main {
 
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineKind.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineKind.java
@@ -3,9 +3,20 @@
 /** What an engine does. */
 public enum EngineKind {
   /** Answers with a body. */
-  PLAIN,
+  PLAIN("plain"),
   /** Answers with a stream of events. */
-  STREAM,
+  STREAM("model"),
   /** Makes pieces of stages. */
-  STAGE
+  STAGE("stage");
+
+  private final String service;
+
+  EngineKind(String service) {
+    this.service = service;
+  }
+
+  /** Returns the service that engines of this kind serve in the small deployment. */
+  String service() {
+    return service;
+  }
 }
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCaller.java
@@ -0,0 +1,86 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/** Sends one box requests of every kind, one after the other. */
+final class FleetCaller {
+
+  private static final List<String> PATHS = List.of("/once/", "/again/", "/resume/", "/staged/");
+  private static final Duration LIMIT = Duration.ofSeconds(10);
+  private static final long READY_LIMIT_MILLIS = 20_000;
+  private static final long LOOK_MILLIS = 50;
+  private static final int READY = 200;
+  private static final int NO_ANSWER = 0;
+
+  private final int callerPort;
+  private final int readyPort;
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  FleetCaller(int callerPort, int readyPort) {
+    this.callerPort = callerPort;
+    this.readyPort = readyPort;
+  }
+
+  /**
+   * Waits until the box is ready, sends so many requests and returns their statuses; a box that is
+   * not ready in time is sent nothing, which counts as one request without an answer.
+   */
+  List<Integer> call(int requests) throws InterruptedException {
+    if (!awaitReady()) {
+      return List.of(NO_ANSWER);
+    }
+    List<Integer> statuses = new ArrayList<>();
+    for (int number = 0; number < requests; number++) {
+      String path = PATHS.get(number % PATHS.size());
+      statuses.add(send(request(callerPort, path, number)));
+    }
+    return statuses;
+  }
+
+  private boolean awaitReady() throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_LIMIT_MILLIS);
+    HttpRequest ready = HttpRequest.newBuilder(uri(readyPort, "/ready")).timeout(LIMIT).build();
+    int status = send(ready);
+    while (status != READY && System.nanoTime() < end) {
+      TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+      status = send(ready);
+    }
+    return status == READY;
+  }
+
+  private int send(HttpRequest request) throws InterruptedException {
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+    } catch (IOException e) {
+      return NO_ANSWER;
+    }
+  }
+
+  private static HttpRequest request(int port, String path, int number) {
+    return HttpRequest.newBuilder(uri(port, path))
+        .timeout(LIMIT)
+        .header("X-Request-Id", UUID.randomUUID().toString())
+        .header("X-Deadline-Ms", "8000")
+        .header("Authorization", "Bearer a-key")
+        .header("X-Token-Counts", "500,40")
+        .header("X-Prompt-Prefix", "5c1e07a2:300," + Integer.toHexString(number) + ":200")
+        .header("X-Pieces", "1,2")
+        .header("X-Piece-Key", "7c1e07a291bd")
+        .POST(HttpRequest.BodyPublishers.ofString("a body"))
+        .build();
+  }
+
+  private static URI uri(int port, String path) {
+    return URI.create("http://127.0.0.1:" + port + path);
+  }
+}
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetConfiguration.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
-/** Documents of the platform, for tests. */
+/** Documents of the platform: the configuration of a small deployment and settings of its boxes. */
 final class FleetConfiguration {
 
   private FleetConfiguration() {}
--- /dev/null
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FreePorts.java
@@ -0,0 +1,46 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Ports that were free a moment ago. They lie below those that the system gives to outgoing
+ * connections, one of which could take a port before it is listened on. Thread-safe.
+ */
+final class FreePorts {
+
+  private static final int LOWEST = 15_000;
+  private static final int HIGHEST = 32_000;
+  private static final int MOST_TRIES = 1_000;
+  private static final Set<Integer> GIVEN = new HashSet<>();
+
+  private FreePorts() {}
+
+  static synchronized List<Integer> find(int count) throws IOException {
+    List<Integer> ports = new ArrayList<>();
+    for (int tries = 0; ports.size() < count && tries < MOST_TRIES; tries++) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
+      if (!GIVEN.contains(port) && isFree(port)) {
+        GIVEN.add(port);
+        ports.add(port);
+      }
+    }
+    return Optional.of(ports)
+        .filter(found -> found.size() == count)
+        .orElseThrow(() -> new IOException("no ports are free"));
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port)) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -196,7 +196,7 @@
     EngineKind kind = leaving.kind();
     newEngine(kind);
     engines.remove(leaving);
-    store.put("servers", leaving.id(), leaving.row(serviceOf(kind), "zone-a", "draining"));
+    store.put("servers", leaving.id(), leaving.row(kind.service(), "zone-a", "draining"));
     last((LEAVING_BOUND_MILLIS + LEAVING_SLACK_MILLIS) * patience);
     left.add(new Left(leaving, leaving.ran().size()));
   }
@@ -206,18 +206,10 @@
     FaultyLink link = new FaultyLink(engine.address());
     engineLinks.add(link);
     engines.add(engine);
-    String row = engine.row(serviceOf(kind), "zone-a", "ready");
+    String row = engine.row(kind.service(), "zone-a", "ready");
     store.put("servers", engine.id(), row.replace(engine.address(), link.address()));
   }
 
-  private static String serviceOf(EngineKind kind) {
-    return switch (kind) {
-      case PLAIN -> "plain";
-      case STREAM -> "model";
-      case STAGE -> "stage";
-    };
-  }
-
   private void lift() throws IOException {
     store.setFault(StoreFault.NONE);
     engines.forEach(engine -> engine.setFault(EngineFault.NONE));
