--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -18,16 +18,19 @@
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.selection.RendezvousHash;
+import org.gradeledge.time.MonotonicClock;
 
 /**
  * Hands the stage work of a service to the box that ranks first for it by rendezvous hashing among
- * those that are heard, so that the pieces of all boxes meet. If that box is lost or does not take
- * the work, this box does it itself. Confined to the event loop.
+ * those that are heard and connected, so that the pieces of all boxes meet. If that box is lost,
+ * the work goes to the one that ranks first then, so that it meets there again; if a box does not
+ * take it, this box does it itself. Confined to the event loop.
  */
 final class MeshStageWorkClient implements StageWorkClient {
 
   private static final String NO_BOX_YET = "";
   private static final long LOOK_AGAIN_MILLIS = 50;
+  private static final int MOST_MOVES = 3;
 
   private final String self;
   private final PeerNetwork network;
@@ -35,14 +38,13 @@
   private final BatchCoordinator local;
   private final EventLoop loop;
   private final PiecesToCome toCome;
+  private final MonotonicClock clock;
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
   private final Map<String, String> coordinators = new HashMap<>();
-  private Set<String> coordinatorsAmong = Set.of();
-
-  /** A group that another box works on. */
-  private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
+  private Set<String> workingBefore = Set.of();
+  private Set<String> connectedBefore = Set.of();
 
   MeshStageWorkClient(
       String self,
@@ -50,13 +52,15 @@
       PeerBoard peers,
       BatchCoordinator local,
       EventLoop loop,
-      PiecesToCome toCome) {
+      PiecesToCome toCome,
+      MonotonicClock clock) {
     this.self = self;
     this.network = network;
     this.peers = peers;
     this.local = local;
     this.loop = loop;
     this.toCome = toCome;
+    this.clock = clock;
   }
 
   /**
@@ -65,28 +69,31 @@
    */
   @Override
   public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+    submit(new Placement(group, listener, clock));
+  }
+
+  private void submit(Placement placement) {
     if (peers.settled()) {
-      place(group, listener);
+      place(placement);
       return;
     }
-    Placement placement = new Placement(group, listener);
     placed.put(placement, NO_BOX_YET);
     loop.schedule(() -> submitAgain(placement), LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void submitAgain(Placement placement) {
     if (placed.remove(placement) != null) {
-      submit(placement.group(), placement.listener());
+      submit(placement);
     }
   }
 
-  private void place(StageGroup group, Consumer<StageGroupResult> listener) {
+  private void place(Placement placement) {
+    StageGroup group = placement.groupNow();
     String box = coordinator(group.service());
     if (box.equals(self)) {
-      local.submit(group, listener);
+      local.submit(group, placement.listener());
       return;
     }
-    Placement placement = new Placement(group, listener);
     placed.put(placement, box);
     network
         .ask(
@@ -96,28 +103,32 @@
             StageGroupResult.class,
             Duration.ofMillis(Math.max(1, group.remainingMillis())))
         .subscribe(
-            result -> loop.execute(() -> answered(placement, result)),
-            failure -> loop.execute(() -> takeOver(placement)));
+            result -> loop.execute(() -> answered(placement, box, result)),
+            failure -> loop.execute(() -> notTaken(placement, box)));
   }
 
   /** Each request asks several times, and the answer changes only where a box comes or goes. */
   private String coordinator(String service) {
     Set<String> working = peers.working();
-    if (working != coordinatorsAmong) {
-      coordinatorsAmong = working;
+    Set<String> connected = network.connectedIds();
+    if (working != workingBefore || connected != connectedBefore) {
+      workingBefore = working;
+      connectedBefore = connected;
       coordinators.clear();
     }
-    return coordinators.computeIfAbsent(service, name -> firstOf(working, name));
+    return coordinators.computeIfAbsent(service, this::firstReachable);
   }
 
-  private String firstOf(Set<String> boxes, String service) {
-    return boxes.stream()
+  /** A box that ended is not connected at once, but heard for a while yet. */
+  private String firstReachable(String service) {
+    return workingBefore.stream()
+        .filter(box -> box.equals(self) || connectedBefore.contains(box))
         .max(Comparator.comparingLong(box -> RendezvousHash.weight(service, box)))
         .orElse(self);
   }
 
-  private void answered(Placement placement, StageGroupResult result) {
-    if (placed.remove(placement) == null) {
+  private void answered(Placement placement, String box, StageGroupResult result) {
+    if (!placed.remove(placement, box)) {
       local.free(result.handles());
       return;
     }
@@ -125,18 +136,29 @@
     placement.listener().accept(result);
   }
 
-  private void takeOver(Placement placement) {
-    if (placed.remove(placement) != null) {
-      local.submit(placement.group(), placement.listener());
+  /** Hands work that a box has not done to the one that is to do it now. */
+  private void notTaken(Placement placement, String box) {
+    if (!placed.remove(placement, box)) {
+      return;
+    }
+    boolean elsewhere = !coordinator(placement.group().service()).equals(box);
+    if (elsewhere && placement.moves() < MOST_MOVES) {
+      placement.moved();
+      place(placement);
+    } else {
+      local.submit(placement.groupNow(), placement.listener());
     }
   }
 
-  /** Does the work itself that a box had which is not heard any more. */
+  /** Has the work done elsewhere that a box had which is not heard any more. */
   void lost(String box) {
     toldBacklogs.remove(box);
-    Set.copyOf(placed.entrySet()).stream()
-        .filter(entry -> entry.getValue().equals(box))
-        .forEach(entry -> takeOver(entry.getKey()));
+    List<Placement> left =
+        placed.entrySet().stream()
+            .filter(entry -> entry.getValue().equals(box))
+            .map(Map.Entry::getKey)
+            .toList();
+    left.forEach(placement -> notTaken(placement, box));
   }
 
   @Override
@@ -194,7 +216,7 @@
   }
 
   private void freeAt(String box, List<String> handles) {
-    if (box.equals(self) || !peers.isAlive(box)) {
+    if (box.equals(self) || !network.connectedIds().contains(box)) {
       local.free(handles);
     } else {
       network.tell(box, MeshMessages.STAGE_FREE, new StageFree(handles));
