--- a/gradeledge-core/src/test/java/org/gradeledge/batch/FakeStageProtocol.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/FakeStageProtocol.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.gradeledge.connection.ConnectionReuse;
+import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.connection.OutgoingRequest;
 import org.gradeledge.discovery.UpstreamRecord;
 
@@ -45,6 +46,16 @@
     return request("/free", String.join(" ", handles));
   }
 
+  @Override
+  public OutgoingRequest encodeRoomQuestion(UpstreamRecord target) {
+    return request(FakeUpstreamCaller.ROOM_QUESTION, "");
+  }
+
+  @Override
+  public Either<String, Long> decodeFreeBytes(byte[] body) {
+    return Either.right(Long.valueOf(new String(body, StandardCharsets.UTF_8)));
+  }
+
   @Override
   public String addressOf(String handle) {
     return handle.substring(0, handle.indexOf('/'));
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshStageWorkClientTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshStageWorkClientTests.java
@@ -49,6 +49,7 @@
   private volatile long nowNanos;
   private final PeerBoard peers = new PeerBoard("self", "zone", () -> nowNanos, EventLogs.silent());
   private PeerNetwork first;
+  private DisposableServer firstServer;
   private MeshStageWorkClient client;
 
   @BeforeEach
@@ -56,7 +57,8 @@
     PeerNetwork own = network("self");
     first = network("first");
     PeerNetwork second = network("second");
-    own.setPeers(List.of(listen("first", first), listen("second", second)));
+    firstServer = listen(first);
+    own.setPeers(List.of(address("first", firstServer), address("second", listen(second))));
     client =
         new MeshStageWorkClient(
             "self", own, peers, nobody(), loop, new PiecesToCome(), () -> nowNanos);
@@ -80,7 +82,7 @@
     assertThat(handed.take().box()).isEqualTo("first");
 
     nowNanos += 300 * MILLI;
-    first.close();
+    endFirst();
 
     Handed again = handed.take();
     assertThat(again.box()).isEqualTo("second");
@@ -92,7 +94,7 @@
   void newWorkDoesNotGoToABoxThatIsStillHeardButNotConnected() throws Exception {
     submit("a");
     assertThat(handed.take().box()).isEqualTo("first");
-    first.close();
+    endFirst();
     assertThat(handed.take().box()).isEqualTo("second");
 
     submit("b");
@@ -149,11 +151,20 @@
     return network;
   }
 
-  private static PeerAddress listen(String name, PeerNetwork network) {
-    DisposableServer server = network.listen(new InetSocketAddress("127.0.0.1", 0)).block(LIMIT);
+  private static DisposableServer listen(PeerNetwork network) {
+    return network.listen(new InetSocketAddress("127.0.0.1", 0)).block(LIMIT);
+  }
+
+  private static PeerAddress address(String name, DisposableServer server) {
     return new PeerAddress(name, 1, "127.0.0.1", server.port());
   }
 
+  /** Ends it for good: it is dialed again, and nobody listens. */
+  private void endFirst() {
+    firstServer.disposeNow(LIMIT);
+    first.close();
+  }
+
   /** This box does no work in these tests. */
   private BatchCoordinator nobody() {
     return IdleCoordinators.create("self", loop);
