--- a/gradeledge-core/src/main/java/org/gradeledge/batch/RoomReports.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/RoomReports.java
@@ -159,6 +159,15 @@
     private void told(long freeBytes) {
       long others = Math.max(0, roomBytes - freeBytes - ownBytes.getAsLong());
       note(upstreamId, others, others > 0 ? SHARED_MILLIS : ALONE_MILLIS);
+      if (others > 0) {
+        services
+            .events()
+            .change("room-taken-by-others")
+            .with("upstream", upstreamId)
+            .with("free-bytes", freeBytes)
+            .with("others-bytes", others)
+            .write();
+      }
       over();
     }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -50,6 +50,7 @@
   private final Collection<String> seeds;
   private final PiecesToCome toCome;
   private final MonotonicClock clock;
+  private final EventLog events;
   private Supplier<Map<String, List<Long>>> backlogs = Map::of;
   private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
   private Runnable onUpstreamNews = () -> {};
@@ -89,6 +90,7 @@
     this.board = board;
     this.toCome = toCome;
     this.clock = clock;
+    this.events = events;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
     this.peers = new PeerBoard(self, zone, clock, events);
     this.relay = new HeartbeatRelay(self, clock);
@@ -113,7 +115,7 @@
         (from, message) -> done(() -> coordinator.free(message.handles())));
     backlogs = coordinator::backlogMillis;
     MeshStageWorkClient client =
-        new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome, clock);
+        new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome, clock, events);
     peers.onLost(client::lost);
     onBacklogs = client::heardBacklogs;
     return client;
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +15,8 @@
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.event.EventLog;
 import org.gradeledge.peer.PeerNetwork;
-import org.gradeledge.selection.RendezvousHash;
 import org.gradeledge.time.MonotonicClock;
 
 /**
@@ -42,9 +41,8 @@
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
-  private final Map<String, String> coordinators = new HashMap<>();
-  private Set<String> workingBefore = Set.of();
-  private Set<String> connectedBefore = Set.of();
+  private final StageCoordinators coordinators;
+  private final EventLog events;
 
   MeshStageWorkClient(
       String self,
@@ -53,7 +51,8 @@
       BatchCoordinator local,
       EventLoop loop,
       PiecesToCome toCome,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      EventLog events) {
     this.self = self;
     this.network = network;
     this.peers = peers;
@@ -61,6 +60,8 @@
     this.loop = loop;
     this.toCome = toCome;
     this.clock = clock;
+    this.events = events;
+    this.coordinators = new StageCoordinators(self, peers, network::connectedIds, events);
   }
 
   /**
@@ -89,7 +90,7 @@
 
   private void place(Placement placement) {
     StageGroup group = placement.groupNow();
-    String box = coordinator(group.service());
+    String box = coordinators.of(group.service());
     if (box.equals(self)) {
       local.submit(group, placement.listener());
       return;
@@ -107,26 +108,6 @@
             failure -> loop.execute(() -> notTaken(placement, box)));
   }
 
-  /** Each request asks several times, and the answer changes only where a box comes or goes. */
-  private String coordinator(String service) {
-    Set<String> working = peers.working();
-    Set<String> connected = network.connectedIds();
-    if (working != workingBefore || connected != connectedBefore) {
-      workingBefore = working;
-      connectedBefore = connected;
-      coordinators.clear();
-    }
-    return coordinators.computeIfAbsent(service, this::firstReachable);
-  }
-
-  /** A box that ended is not connected at once, but heard for a while yet. */
-  private String firstReachable(String service) {
-    return workingBefore.stream()
-        .filter(box -> box.equals(self) || connectedBefore.contains(box))
-        .max(Comparator.comparingLong(box -> RendezvousHash.weight(service, box)))
-        .orElse(self);
-  }
-
   private void answered(Placement placement, String box, StageGroupResult result) {
     if (!placed.remove(placement, box)) {
       local.free(result.handles());
@@ -141,7 +122,16 @@
     if (!placed.remove(placement, box)) {
       return;
     }
-    boolean elsewhere = !coordinator(placement.group().service()).equals(box);
+    String next = coordinators.of(placement.group().service());
+    boolean elsewhere = !next.equals(box);
+    events
+        .problem("stage-work-moved")
+        .with("request", placement.group().requestId())
+        .with("stage", placement.group().stage())
+        .with("from", box)
+        .with("to", elsewhere ? next : self)
+        .with("moves", placement.moves())
+        .write();
     if (elsewhere && placement.moves() < MOST_MOVES) {
       placement.moved();
       place(placement);
@@ -163,7 +153,7 @@
 
   @Override
   public long backlogMillis(String service, int priority) {
-    String box = coordinator(service);
+    String box = coordinators.of(service);
     if (box.equals(self)) {
       return local.backlogMillisOf(service, priority);
     }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshStageWorkClientTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshStageWorkClientTests.java
@@ -61,7 +61,14 @@
     own.setPeers(List.of(address("first", firstServer), address("second", listen(second))));
     client =
         new MeshStageWorkClient(
-            "self", own, peers, nobody(), loop, new PiecesToCome(), () -> nowNanos);
+            "self",
+            own,
+            peers,
+            nobody(),
+            loop,
+            new PiecesToCome(),
+            () -> nowNanos,
+            EventLogs.silent());
     while (own.connectedIds().size() < 2) {
       Thread.onSpinWait();
     }
--- a/scripts/launch.sh
+++ b/scripts/launch.sh
@@ -7,7 +7,7 @@
 names=()
 
 build() {
-  if [ ! -f "$box_jar" ] || [ ! -f "$stand_jar" ]; then
+  if [ ! -f "$box_jar" ] || [ ! -f "$stand_jar" ] || [ ! -f "$root/target/gradeledge-platform.jar" ]; then
     (cd "$root" && mvn -B -q package -DskipTests >&2)
   fi
   work=$(mktemp -d "${TMPDIR:-/tmp}/gradeledge.XXXXXX")
