--- a/gradeledge-core/src/main/java/org/gradeledge/batch/RoomReports.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/RoomReports.java
@@ -137,9 +137,9 @@
 
     @Override
     public void onComplete() {
-      Optional<Long> free =
+      Optional<FreeRoom> free =
           status == HTTP_OK
-              ? services.protocol().decodeFreeBytes(body.bytes()).toJavaOptional()
+              ? services.protocol().decodeFreeRoom(body.bytes()).toJavaOptional()
               : Optional.empty();
       free.ifPresentOrElse(this::told, this::untold);
     }
@@ -156,15 +156,15 @@
       }
     }
 
-    private void told(long freeBytes) {
-      long others = Math.max(0, roomBytes - freeBytes - ownBytes.getAsLong());
+    private void told(FreeRoom free) {
+      long others = free.missingOf(roomBytes - ownBytes.getAsLong());
       note(upstreamId, others, others > 0 ? SHARED_MILLIS : ALONE_MILLIS);
       if (others > 0) {
         services
             .events()
             .change("room-taken-by-others")
             .with("upstream", upstreamId)
-            .with("free-bytes", freeBytes)
+            .with("free-bytes", free.leastBytes())
             .with("others-bytes", others)
             .write();
       }
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/FakeStageProtocol.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/FakeStageProtocol.java
@@ -52,8 +52,9 @@
   }
 
   @Override
-  public Either<String, Long> decodeFreeBytes(byte[] body) {
-    return Either.right(Long.valueOf(new String(body, StandardCharsets.UTF_8)));
+  public Either<String, FreeRoom> decodeFreeRoom(byte[] body) {
+    long free = Long.parseLong(new String(body, StandardCharsets.UTF_8));
+    return Either.right(new FreeRoom(free, free));
   }
 
   @Override
