--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -39,9 +39,7 @@
     this.services = services;
     this.loop = loop;
     this.held = new HeldResults(services.clock(), services.board());
-    this.upstreams =
-        new BatchUpstreams(
-            service, services, held, new RoomReports(services, loop, this::dispatch));
+    this.upstreams = new BatchUpstreams(service, services, held);
     this.retries = new PieceRetries(service, services);
   }
 
@@ -155,7 +153,8 @@
     chosen.forEach(piece -> piece.group().settleIn(target.upstream().zone()));
     BatchCall call = new BatchCall(target, chosen, limits, now, this);
     double expected = target.expectedMillis(limits, chosen.size());
-    upstreams.started(target, call.resultBytes(), expected, now);
+    target.started(call.resultBytes(), expected, now);
+    services.board().started(target.upstream(), call.resultBytes());
     List<CallItem> items =
         chosen.stream()
             .map(p -> new CallItem(p.group().group(), p.index(), p.group().leftMillis(now)))
@@ -227,7 +226,7 @@
     if (results.stream().allMatch(result -> result.kind() == PieceResult.Kind.MADE)) {
       call.target().measured(millis / limits.expectedMillis(call.pieces().size()));
     }
-    upstreams.answered(call.target(), millis);
+    services.board().succeeded(call.target().upstream(), millis);
     for (int i = 0; i < results.size(); i++) {
       take(call, call.pieces().get(i), results.get(i), limits);
     }
@@ -240,7 +239,7 @@
       case LATE -> end(piece.group(), StageOutcome.LATE);
       case GONE -> end(piece.group(), StageOutcome.GONE);
       case NO_ROOM -> {
-        upstreams.hasNoRoom(upstream.id());
+        held.full(upstream.id());
         tryAgain(List.of(piece), true, "no room", upstream);
       }
       case ERROR -> tryAgain(List.of(piece), true, "error", upstream);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -20,19 +20,17 @@
   private final String service;
   private final BatchServices services;
   private final HeldResults held;
-  private final RoomReports rooms;
   private final Map<String, BatchUpstream> byId = new HashMap<>();
 
-  BatchUpstreams(String service, BatchServices services, HeldResults held, RoomReports rooms) {
+  BatchUpstreams(String service, BatchServices services, HeldResults held) {
     this.service = service;
     this.services = services;
     this.held = held;
-    this.rooms = rooms;
   }
 
   /**
    * Returns the upstreams that are free and have room, fastest first; one so slow that waiting for
-   * another would be faster is left out, and so is one that must first tell its room.
+   * another would be faster is left out.
    */
   List<BatchUpstream> worthCalling(BatchLimits limits, int items, long now) {
     List<BatchUpstream> known =
@@ -46,31 +44,11 @@
         Comparator.comparingDouble(each -> each.expectedMillis(limits, items));
     return known.stream()
         .filter(each -> free(each, limits))
-        .filter(each -> tellsRoom(each, limits))
         .filter(each -> each.expectedMillis(limits, items) <= soonest * SLOW_EXCUSE)
         .sorted(fastest.thenComparingLong(this::occupiedBytes))
         .toList();
   }
 
-  /** Notes that a call has been sent. */
-  void started(BatchUpstream target, long resultBytes, double expectedMillis, long now) {
-    target.started(resultBytes, expectedMillis, now);
-    services.board().started(target.upstream(), resultBytes);
-    rooms.called(target.upstream().id());
-  }
-
-  /** Notes that a call was answered in good order after so many milliseconds. */
-  void answered(BatchUpstream target, double millis) {
-    services.board().succeeded(target.upstream(), millis);
-    rooms.called(target.upstream().id());
-  }
-
-  /** Notes that an upstream said that it has no room. */
-  void hasNoRoom(String upstreamId) {
-    held.full(upstreamId);
-    rooms.doubt(upstreamId);
-  }
-
   /** Returns about how long so many pieces keep all upstreams busy, what is under way included. */
   double backlogMillis(BatchLimits limits, long pieces, long now) {
     List<BatchUpstream> known = usable();
@@ -92,17 +70,7 @@
   long roomBytes(BatchUpstream target, BatchLimits limits) {
     return held.isFull(target.upstream().id())
         ? 0
-        : (long) (limits.roomBytes() * ROOM_USED)
-            - occupiedBytes(target)
-            - rooms.othersBytes(target.upstream().id());
-  }
-
-  private boolean tellsRoom(BatchUpstream target, BatchLimits limits) {
-    if (rooms.isKnown(target.upstream().id())) {
-      return true;
-    }
-    rooms.ask(target.upstream(), () -> occupiedBytes(target), limits.roomBytes());
-    return false;
+        : (long) (limits.roomBytes() * ROOM_USED) - occupiedBytes(target);
   }
 
   /** Another box may still be calling the upstream, as it did this work until a moment ago. */
@@ -136,7 +104,6 @@
 
   private List<BatchUpstream> usable() {
     byId.keySet().removeIf(id -> !services.upstreams().isUsable(id));
-    rooms.retain(byId.keySet());
     List<UpstreamRecord> listed = services.upstreams().usable(service);
     List<UpstreamRecord> sound =
         listed.stream().filter(each -> !services.board().avoided(each)).toList();
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroup.java
@@ -36,24 +36,4 @@
     long dueMillis,
     long remainingMillis,
     long waitMillis,
-    boolean first) {
-
-  /** Returns the same as it is handed to another box so many milliseconds later. */
-  public StageGroup after(long millis) {
-    return new StageGroup(
-        service,
-        requestId,
-        stage,
-        pieces,
-        key,
-        inputs,
-        inputBytes,
-        resultBytes,
-        zone,
-        priority,
-        dueMillis - millis,
-        Math.max(0, remainingMillis - millis),
-        waitMillis,
-        first);
-  }
-}
+    boolean first) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageProtocol.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageProtocol.java
@@ -21,12 +21,6 @@
   /** Returns the request that gives results up. */
   OutgoingRequest encodeFree(UpstreamRecord target, List<String> handles);
 
-  /** Returns the request that asks an upstream for the room that it has left for results. */
-  OutgoingRequest encodeRoomQuestion(UpstreamRecord target);
-
-  /** Returns the room that is free for results, or why the answer cannot be read. */
-  Either<String, FreeRoom> decodeFreeRoom(byte[] body);
-
   /** Returns the address of the upstream that holds a result. */
   String addressOf(String handle);
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -79,10 +79,18 @@
     if (revision < 0) {
       subscribe(table.read(), this::take);
     } else {
-      subscribe(table.changes(revision, wait.get()), this::take);
+      subscribe(table.changes(revision, waitNow()), this::take);
     }
   }
 
+  /**
+   * A call that is sent while the table is away may never be answered, also once it is back; so
+   * none waits for a change until one has been answered.
+   */
+  private Duration waitNow() {
+    return lost ? Duration.ZERO : wait.get();
+  }
+
   private <T> void subscribe(Mono<T> call, Consumer<T> taker) {
     call.switchIfEmpty(Mono.error(() -> new IOException("no answer")))
         .subscribe(
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -49,8 +49,6 @@
   private final Set<String> known = new HashSet<>();
   private final Collection<String> seeds;
   private final PiecesToCome toCome;
-  private final MonotonicClock clock;
-  private final EventLog events;
   private Supplier<Map<String, List<Long>>> backlogs = Map::of;
   private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
   private Runnable onUpstreamNews = () -> {};
@@ -89,8 +87,6 @@
     this.upstreams = upstreams;
     this.board = board;
     this.toCome = toCome;
-    this.clock = clock;
-    this.events = events;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
     this.peers = new PeerBoard(self, zone, clock, events);
     this.relay = new HeartbeatRelay(self, clock);
@@ -115,7 +111,7 @@
         (from, message) -> done(() -> coordinator.free(message.handles())));
     backlogs = coordinator::backlogMillis;
     MeshStageWorkClient client =
-        new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome, clock, events);
+        new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome);
     peers.onLost(client::lost);
     onBacklogs = client::heardBacklogs;
     return client;
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,21 +16,18 @@
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
-import org.gradeledge.event.EventLog;
 import org.gradeledge.peer.PeerNetwork;
-import org.gradeledge.time.MonotonicClock;
+import org.gradeledge.selection.RendezvousHash;
 
 /**
  * Hands the stage work of a service to the box that ranks first for it by rendezvous hashing among
- * those that are heard and connected, so that the pieces of all boxes meet. If that box is lost,
- * the work goes to the one that ranks first then, so that it meets there again; if a box does not
- * take it, this box does it itself. Confined to the event loop.
+ * those that are heard, so that the pieces of all boxes meet. If that box is lost or does not take
+ * the work, this box does it itself. Confined to the event loop.
  */
 final class MeshStageWorkClient implements StageWorkClient {
 
   private static final String NO_BOX_YET = "";
   private static final long LOOK_AGAIN_MILLIS = 50;
-  private static final int MOST_MOVES = 3;
 
   private final String self;
   private final PeerNetwork network;
@@ -37,12 +35,14 @@
   private final BatchCoordinator local;
   private final EventLoop loop;
   private final PiecesToCome toCome;
-  private final MonotonicClock clock;
   private final Map<Placement, String> placed = new HashMap<>();
   private final Map<String, String> makers = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
-  private final StageCoordinators coordinators;
-  private final EventLog events;
+  private final Map<String, String> coordinators = new HashMap<>();
+  private Set<String> coordinatorsAmong = Set.of();
+
+  /** A group that another box works on. */
+  private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
 
   MeshStageWorkClient(
       String self,
@@ -50,18 +50,13 @@
       PeerBoard peers,
       BatchCoordinator local,
       EventLoop loop,
-      PiecesToCome toCome,
-      MonotonicClock clock,
-      EventLog events) {
+      PiecesToCome toCome) {
     this.self = self;
     this.network = network;
     this.peers = peers;
     this.local = local;
     this.loop = loop;
     this.toCome = toCome;
-    this.clock = clock;
-    this.events = events;
-    this.coordinators = new StageCoordinators(self, peers, network::connectedIds, events);
   }
 
   /**
@@ -70,31 +65,28 @@
    */
   @Override
   public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
-    submit(new Placement(group, listener, clock));
-  }
-
-  private void submit(Placement placement) {
     if (peers.settled()) {
-      place(placement);
+      place(group, listener);
       return;
     }
+    Placement placement = new Placement(group, listener);
     placed.put(placement, NO_BOX_YET);
     loop.schedule(() -> submitAgain(placement), LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void submitAgain(Placement placement) {
     if (placed.remove(placement) != null) {
-      submit(placement);
+      submit(placement.group(), placement.listener());
     }
   }
 
-  private void place(Placement placement) {
-    StageGroup group = placement.groupNow();
-    String box = coordinators.of(group.service());
+  private void place(StageGroup group, Consumer<StageGroupResult> listener) {
+    String box = coordinator(group.service());
     if (box.equals(self)) {
-      local.submit(group, placement.listener());
+      local.submit(group, listener);
       return;
     }
+    Placement placement = new Placement(group, listener);
     placed.put(placement, box);
     network
         .ask(
@@ -104,12 +96,28 @@
             StageGroupResult.class,
             Duration.ofMillis(Math.max(1, group.remainingMillis())))
         .subscribe(
-            result -> loop.execute(() -> answered(placement, box, result)),
-            failure -> loop.execute(() -> notTaken(placement, box)));
+            result -> loop.execute(() -> answered(placement, result)),
+            failure -> loop.execute(() -> takeOver(placement)));
   }
 
-  private void answered(Placement placement, String box, StageGroupResult result) {
-    if (!placed.remove(placement, box)) {
+  /** Each request asks several times, and the answer changes only where a box comes or goes. */
+  private String coordinator(String service) {
+    Set<String> working = peers.working();
+    if (working != coordinatorsAmong) {
+      coordinatorsAmong = working;
+      coordinators.clear();
+    }
+    return coordinators.computeIfAbsent(service, name -> firstOf(working, name));
+  }
+
+  private String firstOf(Set<String> boxes, String service) {
+    return boxes.stream()
+        .max(Comparator.comparingLong(box -> RendezvousHash.weight(service, box)))
+        .orElse(self);
+  }
+
+  private void answered(Placement placement, StageGroupResult result) {
+    if (placed.remove(placement) == null) {
       local.free(result.handles());
       return;
     }
@@ -117,43 +125,23 @@
     placement.listener().accept(result);
   }
 
-  /** Hands work that a box has not done to the one that is to do it now. */
-  private void notTaken(Placement placement, String box) {
-    if (!placed.remove(placement, box)) {
-      return;
-    }
-    String next = coordinators.of(placement.group().service());
-    boolean elsewhere = !next.equals(box);
-    events
-        .problem("stage-work-moved")
-        .with("request", placement.group().requestId())
-        .with("stage", placement.group().stage())
-        .with("from", box)
-        .with("to", elsewhere ? next : self)
-        .with("moves", placement.moves())
-        .write();
-    if (elsewhere && placement.moves() < MOST_MOVES) {
-      placement.moved();
-      place(placement);
-    } else {
-      local.submit(placement.groupNow(), placement.listener());
+  private void takeOver(Placement placement) {
+    if (placed.remove(placement) != null) {
+      local.submit(placement.group(), placement.listener());
     }
   }
 
-  /** Has the work done elsewhere that a box had which is not heard any more. */
+  /** Does the work itself that a box had which is not heard any more. */
   void lost(String box) {
     toldBacklogs.remove(box);
-    List<Placement> left =
-        placed.entrySet().stream()
-            .filter(entry -> entry.getValue().equals(box))
-            .map(Map.Entry::getKey)
-            .toList();
-    left.forEach(placement -> notTaken(placement, box));
+    Set.copyOf(placed.entrySet()).stream()
+        .filter(entry -> entry.getValue().equals(box))
+        .forEach(entry -> takeOver(entry.getKey()));
   }
 
   @Override
   public long backlogMillis(String service, int priority) {
-    String box = coordinators.of(service);
+    String box = coordinator(service);
     if (box.equals(self)) {
       return local.backlogMillisOf(service, priority);
     }
@@ -206,7 +194,7 @@
   }
 
   private void freeAt(String box, List<String> handles) {
-    if (box.equals(self) || !network.connectedIds().contains(box)) {
+    if (box.equals(self) || !peers.isAlive(box)) {
       local.free(handles);
     } else {
       network.tell(box, MeshMessages.STAGE_FREE, new StageFree(handles));
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
@@ -38,7 +38,6 @@
   private final Map<String, PeerConnection> open = new ConcurrentHashMap<>();
   private final Map<PeerAddress, Disposable> tasks = new ConcurrentHashMap<>();
   private volatile long incarnation;
-  private volatile Set<String> connectedIds = Set.of();
 
   /** Creates the network of a box; it neither listens nor dials yet. */
   public PeerNetwork(String boxId, PeerSecret secret, PeerTransport transport, BoxMetrics metrics) {
@@ -100,9 +99,9 @@
         .forEach(connection -> connection.tell(type.name(), body));
   }
 
-  /** Returns the names of the peers whose connections are up; the same set until one changes. */
+  /** Returns the names of the peers whose connections are up. */
   public Set<String> connectedIds() {
-    return connectedIds;
+    return Set.copyOf(open.keySet());
   }
 
   /** Sends a message to all connected peers. */
@@ -183,7 +182,6 @@
       return false;
     }
     open.put(identity.boxId(), connection);
-    connectedIds = Set.copyOf(open.keySet());
     if (existing != null) {
       existing.close();
     }
@@ -201,9 +199,8 @@
   }
 
   @Override
-  public synchronized void closed(PeerConnection connection) {
+  public void closed(PeerConnection connection) {
     if (open.remove(connection.identity().boxId(), connection)) {
-      connectedIds = Set.copyOf(open.keySet());
       metrics.stateChange("peer-lost");
       Logger.info("peer lost: box={}", connection.identity().boxId());
     }
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/FakeStageProtocol.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/FakeStageProtocol.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.gradeledge.connection.ConnectionReuse;
-import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.connection.OutgoingRequest;
 import org.gradeledge.discovery.UpstreamRecord;
 
@@ -46,17 +45,6 @@
     return request("/free", String.join(" ", handles));
   }
 
-  @Override
-  public OutgoingRequest encodeRoomQuestion(UpstreamRecord target) {
-    return request(FakeUpstreamCaller.ROOM_QUESTION, "");
-  }
-
-  @Override
-  public Either<String, FreeRoom> decodeFreeRoom(byte[] body) {
-    long free = Long.parseLong(new String(body, StandardCharsets.UTF_8));
-    return Either.right(new FreeRoom(free, free));
-  }
-
   @Override
   public String addressOf(String handle) {
     return handle.substring(0, handle.indexOf('/'));
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -63,43 +63,18 @@
     }
   }
 
-  /** Path of the question for an upstream's room, which is plenty unless a test answers. */
-  public static final String ROOM_QUESTION = "/room";
-
-  private final BlockingQueue<Call> roomQuestions = new LinkedBlockingQueue<>();
-  private volatile boolean roomQuestionsKept;
   private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
 
   @Override
   public UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
     Call call = new Call(target, request, listener);
-    if (!request.uri().equals(ROOM_QUESTION)) {
-      calls.add(call);
-    } else if (!roomQuestionsKept) {
-      call.answer(200, String.valueOf(Long.MAX_VALUE / 2));
-    } else {
-      roomQuestions.add(call);
-    }
+    calls.add(call);
     return call;
   }
 
-  /** Leaves questions for room to the test from now on. */
-  public void keepRoomQuestions() {
-    roomQuestionsKept = true;
-  }
-
-  /** Returns the next question for room, waiting for it. */
-  public Call nextRoomQuestion() throws InterruptedException {
-    return next(roomQuestions);
-  }
-
   /** Returns the next call, waiting for it. */
   public Call next() throws InterruptedException {
-    return next(calls);
-  }
-
-  private static Call next(BlockingQueue<Call> from) throws InterruptedException {
-    Call call = from.poll(10, TimeUnit.SECONDS);
+    Call call = calls.poll(10, TimeUnit.SECONDS);
     if (call == null) {
       throw new AssertionError("no call was made");
     }
--- a/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
@@ -27,6 +27,8 @@
     loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
   }
 
+  private static final Duration WAIT = Duration.ofSeconds(10);
+
   @Test
   void readsOnceAndThenFollowsChanges() throws Exception {
     ScriptedTable table = new ScriptedTable();
@@ -102,6 +104,22 @@
     assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 6 [] [d]");
   }
 
+  @Test
+  void doesNotWaitForChangesWhileTheTableIsAway() throws Exception {
+    ScriptedTable table = new ScriptedTable();
+    table.reads.add(Mono.just(new TableContent(4, List.of())));
+    table.changes.add(Mono.error(new IOException("down")));
+    table.changes.add(Mono.error(new IOException("down")));
+    table.changes.add(Mono.just(new TableChanges(5, List.of(row("d")), List.of())));
+
+    follow(table);
+
+    assertThat(table.waits.poll(5, TimeUnit.SECONDS)).isEqualTo(WAIT);
+    assertThat(table.waits.poll(5, TimeUnit.SECONDS)).isZero();
+    assertThat(table.waits.poll(5, TimeUnit.SECONDS)).isZero();
+    assertThat(table.waits.poll(5, TimeUnit.SECONDS)).isEqualTo(WAIT);
+  }
+
   private void follow(ScriptedTable table) {
     TableFollower follower =
         new TableFollower(
@@ -110,7 +128,7 @@
             new RecordingListener(),
             loop,
             EventLogs.silent(),
-            () -> Duration.ZERO,
+            () -> WAIT,
             () -> Duration.ZERO);
     loop.execute(follower::start);
   }
@@ -153,6 +171,7 @@
     private final Queue<Mono<TableContent>> reads = new ArrayDeque<>();
     private final Queue<Mono<TableChanges>> changes = new ArrayDeque<>();
     private final BlockingQueue<Long> askedAfter = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Duration> waits = new LinkedBlockingQueue<>();
 
     @Override
     public Mono<TableContent> read() {
@@ -162,6 +181,7 @@
     @Override
     public Mono<TableChanges> changes(long afterRevision, Duration wait) {
       askedAfter.add(afterRevision);
+      waits.add(wait);
       return changes.isEmpty() ? Mono.never() : changes.remove();
     }
   }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -29,7 +29,6 @@
 
   private static final long SLOW_NANOS = 150_000_000;
   private static final int HALF = EVENTS / 2;
-  private static final String REPORT = "{\"waiting\":0,\"busy\":false,\"free_mb\":10}";
   private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
 
   private final String id;
@@ -130,9 +129,6 @@
       StandInHttp.parse(bytes(request.body())).path("handles").forEach(h -> freed.add(h.asText()));
       return send(out, whole(request, 200, "", "{}"));
     }
-    if (request.path().equals("/report")) {
-      return send(out, whole(request, 200, "", REPORT));
-    }
     ran.add(request);
     return switch (fault) {
       case ANSWER_LOST -> reset(socket);
