--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCommand.java
@@ -82,7 +82,7 @@
     Files.createDirectories(directory);
     List<List<Integer>> ports = new ArrayList<>();
     for (int box = 0; box < boxCount; box++) {
-      ports.add(FreePorts.find(PORTS_OF_BOX));
+      ports.add(FreePorts.findBelowOutgoing(PORTS_OF_BOX));
     }
     List<String> seeds = ports.stream().map(each -> "127.0.0.1:" + each.get(2)).toList();
     for (int box = 0; box < boxCount; box++) {
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FreePorts.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FreePorts.java
@@ -9,10 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
-/**
- * Ports that were free a moment ago. They lie below those that the system gives to outgoing
- * connections, one of which could take a port before it is listened on. Thread-safe.
- */
+/** Ports of the loopback interface that were free a moment ago. Thread-safe. */
 final class FreePorts {
 
   private static final int LOWEST = 15_000;
@@ -22,7 +19,25 @@
 
   private FreePorts() {}
 
-  static synchronized List<Integer> find(int count) throws IOException {
+  static List<Integer> find(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<Integer> ports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ServerSocket socket = new ServerSocket(0);
+      sockets.add(socket);
+      ports.add(socket.getLocalPort());
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return ports;
+  }
+
+  /**
+   * Returns ports below those that the system gives to outgoing connections, of which many boxes
+   * that start at once make so many that one takes a port before it is listened on.
+   */
+  static synchronized List<Integer> findBelowOutgoing(int count) throws IOException {
     List<Integer> ports = new ArrayList<>();
     for (int tries = 0; ports.size() < count && tries < MOST_TRIES; tries++) {
       int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
