--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -8,7 +8,6 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.gradeledge.deployment.BatchLimits;
-import org.gradeledge.discovery.UpstreamRecord;
 
 /** The upstreams of one service and which of them to call next. Confined to the event loop. */
 final class BatchUpstreams {
@@ -104,11 +103,7 @@
 
   private List<BatchUpstream> usable() {
     byId.keySet().removeIf(id -> !services.upstreams().isUsable(id));
-    List<UpstreamRecord> listed = services.upstreams().usable(service);
-    List<UpstreamRecord> sound =
-        listed.stream().filter(each -> !services.board().avoided(each)).toList();
-    List<UpstreamRecord> chosen = sound.isEmpty() ? listed : sound;
-    return chosen.stream()
+    return services.board().preferred(services.upstreams().usable(service)).stream()
         .map(each -> byId.computeIfAbsent(each.id(), id -> new BatchUpstream(each)))
         .toList();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
@@ -1,9 +1,7 @@
 package org.gradeledge.mesh;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.peer.PeerNetwork;
@@ -17,24 +15,34 @@
   /** A box that reads the platform itself needs no other one for what is new. */
   private static final long LEARN_DELAY_MILLIS = 150;
 
-  private static final Duration ANSWER_LIMIT = Duration.ofMillis(800);
-
-  private final PeerNetwork network;
-  private final EventLoop loop;
   private final DeploymentRegistry deployments;
   private final UpstreamRegistry upstreams;
-  private boolean learningConfiguration;
-  private boolean learningUpstreams;
+  private final DocumentLearner<DocumentAnswer> configurations;
+  private final DocumentLearner<UpstreamList> lists;
 
   DocumentExchange(
       PeerNetwork network,
       EventLoop loop,
       DeploymentRegistry deployments,
       UpstreamRegistry upstreams) {
-    this.network = network;
-    this.loop = loop;
     this.deployments = deployments;
     this.upstreams = upstreams;
+    this.configurations =
+        new DocumentLearner<>(
+            network,
+            loop,
+            MeshMessages.CONFIGURATION,
+            DocumentAnswer.class,
+            deployments::revision,
+            (box, answer) -> deployments.offer(answer.document(), box));
+    this.lists =
+        new DocumentLearner<>(
+            network,
+            loop,
+            MeshMessages.UPSTREAMS,
+            UpstreamList.class,
+            upstreams::revision,
+            (box, list) -> upstreams.replaceAll(list.revision(), list.upstreams()));
   }
 
   DocumentAnswer configuration() {
@@ -48,51 +56,11 @@
 
   /** Asks a box for its configuration unless this box has one as new by then. */
   void learnConfigurationSoon(String box, long revision) {
-    if (revision > deployments.revision()) {
-      loop.schedule(
-          () -> learnConfiguration(box, revision), LEARN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void learnConfiguration(String box, long revision) {
-    if (learningConfiguration || deployments.revision() >= revision) {
-      return;
-    }
-    learningConfiguration = true;
-    network
-        .ask(
-            box,
-            MeshMessages.CONFIGURATION,
-            new DocumentRequest(deployments.revision()),
-            DocumentAnswer.class,
-            ANSWER_LIMIT)
-        .doFinally(signal -> loop.execute(() -> learningConfiguration = false))
-        .subscribe(
-            answer -> loop.execute(() -> deployments.offer(answer.document(), box)), failure -> {});
+    configurations.learnSoon(box, revision, LEARN_DELAY_MILLIS);
   }
 
   /** Asks a box for its list of upstreams unless this box has one as new by then. */
   void learnUpstreamsSoon(String box, long revision, long delayMillis) {
-    if (revision > upstreams.revision()) {
-      loop.schedule(() -> learnUpstreams(box, revision), delayMillis, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void learnUpstreams(String box, long revision) {
-    if (learningUpstreams || upstreams.revision() >= revision) {
-      return;
-    }
-    learningUpstreams = true;
-    network
-        .ask(
-            box,
-            MeshMessages.UPSTREAMS,
-            new DocumentRequest(upstreams.revision()),
-            UpstreamList.class,
-            ANSWER_LIMIT)
-        .doFinally(signal -> loop.execute(() -> learningUpstreams = false))
-        .subscribe(
-            list -> loop.execute(() -> upstreams.replaceAll(list.revision(), list.upstreams())),
-            failure -> {});
+    lists.learnSoon(box, revision, delayMillis);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
@@ -1,6 +1,5 @@
 package org.gradeledge.mesh;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -57,14 +56,17 @@
 
   /** Returns whether this box is among the first so many of all that work for others. */
   boolean isAmongFirst(String duty, int count) {
-    return peers.working().stream().sorted(byRank(duty)).limit(count).anyMatch(self::equals);
+    return peers.working().stream()
+        .sorted(RendezvousHash.byRank(duty))
+        .limit(count)
+        .anyMatch(self::equals);
   }
 
   private List<String> relays(String ofZone, Set<String> reachable) {
     return peers.working().stream()
         .filter(box -> box.equals(self) || reachable.contains(box))
         .filter(box -> peers.zoneOf(box).filter(ofZone::equals).isPresent())
-        .sorted(byRank("relay"))
+        .sorted(RendezvousHash.byRank("relay"))
         .limit(RELAYS_OF_ZONE)
         .toList();
   }
@@ -72,8 +74,4 @@
   private List<String> others(List<String> boxes) {
     return boxes.stream().filter(box -> !box.equals(self)).toList();
   }
-
-  private static Comparator<String> byRank(String duty) {
-    return Comparator.comparingLong((String box) -> RendezvousHash.weight(duty, box)).reversed();
-  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -111,9 +110,7 @@
   }
 
   private String firstOf(Set<String> boxes, String service) {
-    return boxes.stream()
-        .max(Comparator.comparingLong(box -> RendezvousHash.weight(service, box)))
-        .orElse(self);
+    return boxes.stream().min(RendezvousHash.byRank(service)).orElse(self);
   }
 
   private void answered(Placement placement, StageGroupResult result) {
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
@@ -137,7 +137,7 @@
   }
 
   /** Returns those that are not avoided, or all if there are none. */
-  List<UpstreamRecord> preferred(List<UpstreamRecord> candidates) {
+  public List<UpstreamRecord> preferred(List<UpstreamRecord> candidates) {
     List<UpstreamRecord> sound = candidates.stream().filter(each -> !avoided(each)).toList();
     return sound.isEmpty() ? candidates : sound;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/PrefixAffinityChooser.java
@@ -21,6 +21,14 @@
   /** Bytes between zones that are worth as much as one token that is not read again. */
   private static final long BYTES_OF_TOKEN = 4_000;
 
+  private static final Comparator<Candidate> FIRST_IN_RANK =
+      Comparator.comparingLong(Candidate::weight).reversed();
+  private static final Comparator<Candidate> LEAST_LOADED =
+      Comparator.comparingLong(Candidate::tokens);
+
+  /** An upstream with its rank for one prompt part and what is under way there. */
+  private record Candidate(UpstreamRecord upstream, long weight, long tokens) {}
+
   private final LoadBoard board;
   private final UpstreamChooser withoutAffinity;
   private final ToLongFunction<UpstreamRecord> memoryTokens;
@@ -46,23 +54,22 @@
       return withoutAffinity.choose(candidates, demand);
     }
     String key = demand.affinity().get();
-    List<UpstreamRecord> ranked = ranked(inZoneIfWorth(board.preferred(candidates), demand), key);
-    double mean = ranked.stream().mapToLong(this::tokens).average().orElse(0);
+    List<Candidate> known =
+        inZoneIfWorth(board.preferred(candidates), demand).stream()
+            .map(each -> candidate(each, key))
+            .toList();
+    double mean = known.stream().mapToLong(Candidate::tokens).average().orElse(0);
     double bound = (mean + demand.tokens()) * MOST_OF_MEAN;
-    return ranked.stream()
-        .filter(each -> tokens(each) + demand.tokens() <= Math.min(bound, memory(each)))
-        .findFirst()
-        .or(() -> ranked.stream().min(Comparator.comparingLong(this::tokens)));
+    return known.stream()
+        .filter(each -> each.tokens() + demand.tokens() <= Math.min(bound, memory(each.upstream())))
+        .min(FIRST_IN_RANK)
+        .or(() -> known.stream().min(LEAST_LOADED.thenComparing(FIRST_IN_RANK)))
+        .map(Candidate::upstream);
   }
 
-  private record Ranked(UpstreamRecord upstream, long weight) {}
-
-  private static List<UpstreamRecord> ranked(List<UpstreamRecord> all, String key) {
-    return all.stream()
-        .map(each -> new Ranked(each, RendezvousHash.weight(key, each.id())))
-        .sorted(Comparator.comparingLong(Ranked::weight).reversed())
-        .map(Ranked::upstream)
-        .toList();
+  private Candidate candidate(UpstreamRecord upstream, String key) {
+    long weight = RendezvousHash.weight(key, upstream.id());
+    return new Candidate(upstream, weight, board.load(upstream.id()).totalTokens());
   }
 
   private static List<UpstreamRecord> inZoneIfWorth(List<UpstreamRecord> all, Demand demand) {
@@ -74,10 +81,6 @@
     return near.isEmpty() ? all : near;
   }
 
-  private long tokens(UpstreamRecord upstream) {
-    return board.load(upstream.id()).totalTokens();
-  }
-
   private double memory(UpstreamRecord upstream) {
     long tokens = memoryTokens.applyAsLong(upstream);
     return tokens == 0 ? Double.MAX_VALUE : tokens * MOST_OF_MEMORY;
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/RendezvousHash.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/RendezvousHash.java
@@ -1,6 +1,7 @@
 package org.gradeledge.selection;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.zip.CRC32C;
 
 /**
@@ -16,6 +17,11 @@
 
   private RendezvousHash() {}
 
+  /** Returns the order in which members rank for a key, the first one first. */
+  public static Comparator<String> byRank(String key) {
+    return Comparator.comparingLong((String member) -> weight(key, member)).reversed();
+  }
+
   /** Returns the weight of a member for a key; never negative. */
   public static long weight(String key, String member) {
     return mix(checksum(key) << 32 ^ checksum(member)) >>> 1;
