--- a/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
@@ -97,11 +97,6 @@
     return load(upstream.id()).silentMillis(clock.nanos());
   }
 
-  /** Returns whether an upstream is not to be used if there is another. */
-  public boolean avoided(UpstreamRecord upstream) {
-    return load(upstream.id()).avoided(clock.nanos());
-  }
-
   /** Takes the place of what a peer told before. */
   public void setPeerShares(String box, Map<String, LoadShare> shares) {
     Set<String> before = toldByBox.getOrDefault(box, Set.of());
@@ -138,7 +133,8 @@
 
   /** Returns those that are not avoided, or all if there are none. */
   public List<UpstreamRecord> preferred(List<UpstreamRecord> candidates) {
-    List<UpstreamRecord> sound = candidates.stream().filter(each -> !avoided(each)).toList();
+    List<UpstreamRecord> sound =
+        candidates.stream().filter(each -> !load(each.id()).avoided(clock.nanos())).toList();
     return sound.isEmpty() ? candidates : sound;
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/StageGroups.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/StageGroups.java
@@ -13,42 +13,26 @@
   }
 
   static StageGroup large(String request, int pieces, long bytes) {
-    return new StageGroup(
-        "service",
-        request,
-        0,
-        pieces,
-        Optional.empty(),
-        List.of(),
-        0,
-        bytes,
-        "",
-        1,
-        60_000,
-        60_000,
-        60_000,
-        false);
+    return of(request, pieces, 0, bytes, "", 1, 60_000, false);
   }
 
   static StageGroup due(String request, int pieces, int priority, long dueMillis, boolean first) {
-    return new StageGroup(
-        "service",
-        request,
-        0,
-        pieces,
-        Optional.empty(),
-        List.of(),
-        0,
-        1,
-        "",
-        priority,
-        dueMillis,
-        60_000,
-        60_000,
-        first);
+    return of(request, pieces, 0, 1, "", priority, dueMillis, first);
   }
 
   static StageGroup inZone(String request, String zone, int pieces, long dueMillis) {
+    return of(request, pieces, 300_000, 1, zone, 1, dueMillis, false);
+  }
+
+  private static StageGroup of(
+      String request,
+      int pieces,
+      long inputBytes,
+      long resultBytes,
+      String zone,
+      int priority,
+      long dueMillis,
+      boolean first) {
     return new StageGroup(
         "service",
         request,
@@ -56,13 +40,13 @@
         pieces,
         Optional.empty(),
         List.of(),
-        300_000,
-        1,
+        inputBytes,
+        resultBytes,
         zone,
-        1,
+        priority,
         dueMillis,
         60_000,
         60_000,
-        false);
+        first);
   }
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCaller.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCaller.java
@@ -14,7 +14,6 @@
 /** Sends one box requests of every kind, one after the other. */
 final class FleetCaller {
 
-  private static final List<String> PATHS = List.of("/once/", "/again/", "/resume/", "/staged/");
   private static final Duration LIMIT = Duration.ofSeconds(10);
   private static final long READY_LIMIT_MILLIS = 20_000;
   private static final long LOOK_MILLIS = 50;
@@ -23,14 +22,18 @@
 
   private final int callerPort;
   private final int readyPort;
-  private final HttpClient client =
-      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final HttpClient client = newClient();
 
   FleetCaller(int callerPort, int readyPort) {
     this.callerPort = callerPort;
     this.readyPort = readyPort;
   }
 
+  /** Returns a client that speaks as callers of the platform do. */
+  static HttpClient newClient() {
+    return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  }
+
   /**
    * Waits until the box is ready, sends so many requests and returns their statuses; a box that is
    * not ready in time is sent nothing, which counts as one request without an answer.
@@ -41,7 +44,7 @@
     }
     List<Integer> statuses = new ArrayList<>();
     for (int number = 0; number < requests; number++) {
-      String path = PATHS.get(number % PATHS.size());
+      String path = FleetConfiguration.PATHS.get(number % FleetConfiguration.PATHS.size());
       statuses.add(send(request(callerPort, path, number)));
     }
     return statuses;
@@ -71,7 +74,7 @@
         .timeout(LIMIT)
         .header("X-Request-Id", UUID.randomUUID().toString())
         .header("X-Deadline-Ms", "8000")
-        .header("Authorization", "Bearer a-key")
+        .header("Authorization", "Bearer " + FleetConfiguration.KEY)
         .header("X-Token-Counts", "500,40")
         .header("X-Prompt-Prefix", "5c1e07a2:300," + Integer.toHexString(number) + ":200")
         .header("X-Pieces", "1,2")
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
@@ -6,6 +6,12 @@
 /** Documents of the platform: the configuration of a small deployment and settings of its boxes. */
 final class FleetConfiguration {
 
+  /** A path of each kind of route that callers ask for. */
+  static final List<String> PATHS = List.of("/once/", "/again/", "/resume/", "/staged/");
+
+  /** Key of the one client account. */
+  static final String KEY = "a-key";
+
   private FleetConfiguration() {}
 
   static String of(int version, String moreRoutes) {
@@ -28,7 +34,9 @@
         + "\"batch\":4,\"call_ms\":20,\"item_ms\":1,\"headroom_mb\":10,\"handle_s\":4}}],"
         + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":2000,"
         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-        + "\"tenants\":[{\"name\":\"a-tenant\",\"api_keys\":[\"a-key\"],\"priority\":1}]}";
+        + "\"tenants\":[{\"name\":\"a-tenant\",\"api_keys\":[\""
+        + KEY
+        + "\"],\"priority\":1}]}";
   }
 
   private static final String STAGES =
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -49,7 +49,7 @@
     } catch (IOException e) {
       throw new UncheckedIOException("no port is free", e);
     }
-    daemon(this::accept);
+    DaemonThread.start("engine", this::accept);
   }
 
   /** Returns its id. */
@@ -95,7 +95,7 @@
       while (true) {
         Socket socket = listener.accept();
         open.add(socket);
-        daemon(() -> serve(socket));
+        DaemonThread.start("engine", () -> serve(socket));
       }
     } catch (IOException e) {
       // The engine was closed.
@@ -245,12 +245,6 @@
     return text.getBytes(StandardCharsets.UTF_8);
   }
 
-  private static void daemon(Runnable task) {
-    Thread thread = new Thread(task, "engine");
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   @Override
   public void close() throws IOException {
     listener.close();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/BoxProcess.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/BoxProcess.java
@@ -24,17 +24,8 @@
     try {
       Process process =
           new ProcessBuilder(
-                  Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                  "-XX:-UsePerfData",
-                  "-XX:+UseSerialGC",
-                  "-XX:TieredStopAtLevel=1",
-                  "-Xmx96m",
-                  "-cp",
-                  System.getProperty("java.class.path"),
-                  "org.gradeledge.box.Main",
-                  "box",
-                  "--settings",
-                  settings.toString())
+                  JavaCommand.of(
+                      "org.gradeledge.box.Main", "box", "--settings", settings.toString()))
               .redirectError(ProcessBuilder.Redirect.INHERIT)
               .start();
       BufferedReader out =
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -42,7 +42,7 @@
             targetAddress.substring(0, colon),
             Integer.parseInt(targetAddress.substring(colon + 1)));
     this.listener = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
-    daemon(this::accept);
+    DaemonThread.start("link", this::accept);
   }
 
   String address() {
@@ -60,7 +60,7 @@
     try {
       while (true) {
         Socket near = listener.accept();
-        daemon(() -> connect(near));
+        DaemonThread.start("link", () -> connect(near));
       }
     } catch (IOException e) {
       // The link was closed.
@@ -77,7 +77,7 @@
       far.connect(target);
       open.add(near);
       open.add(far);
-      daemon(() -> carry(near, far, Fault.CUT_FORTH));
+      DaemonThread.start("link", () -> carry(near, far, Fault.CUT_FORTH));
       carry(far, near, Fault.CUT_BACK);
     } catch (IOException e) {
       reset(near);
@@ -120,12 +120,6 @@
     }
   }
 
-  private static void daemon(Runnable task) {
-    Thread thread = new Thread(task, "link");
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   @Override
   public void close() throws IOException {
     listener.close();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -19,7 +19,7 @@
 /** A store, engines and boxes in one process, for tests. */
 final class Fleet implements AutoCloseable {
 
-  static final String KEY = "a-key";
+  static final String KEY = FleetConfiguration.KEY;
 
   private static final Duration LIMIT = Duration.ofSeconds(20);
 
@@ -30,8 +30,7 @@
   private final List<Integer> callerPorts = new ArrayList<>();
   private final List<Integer> readyPorts = new ArrayList<>();
   private final List<Integer> peerPorts = new ArrayList<>();
-  private final HttpClient client =
-      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final HttpClient client = FleetCaller.newClient();
 
   Fleet() {
     configure(1, "");
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import org.gradeledge.standin.JavaCommand;
 
 /** A box of the soak: a real process, its link to the store, and where it is reached. */
 final class SoakBox implements AutoCloseable {
@@ -61,16 +62,7 @@
     Files.writeString(settings, FleetConfiguration.settings(ports, storeLink.address(), seeds));
     File log = folder.resolve("box-" + number + ".log").toFile();
     ProcessBuilder builder =
-        new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:-UsePerfData",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-Xmx96m",
-            "-Xss256k",
-            "-cp",
-            System.getProperty("java.class.path"),
-            "org.gradeledge.adapter.PlatformMain");
+        new ProcessBuilder(JavaCommand.of("-Xss256k", "org.gradeledge.adapter.PlatformMain"));
     builder.environment().put("GRADELEDGE_SETTINGS", settings.toString());
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
     process = builder.start();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakCallers.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakCallers.java
@@ -20,7 +20,6 @@
 final class SoakCallers {
 
   private static final Duration LIMIT = Duration.ofSeconds(10);
-  private static final List<String> PATHS = List.of("/once/", "/again/", "/resume/", "/staged/");
   private static final int PROBE_EACH = 6;
 
   private final Collection<SoakCall> calls = new ConcurrentLinkedQueue<>();
@@ -45,10 +44,7 @@
 
   void start(SoakBox box, int callers) {
     for (int i = 0; i < callers; i++) {
-      Thread thread = new Thread(() -> callUntilStopped(box), "caller");
-      thread.setDaemon(true);
-      threads.add(thread);
-      thread.start();
+      threads.add(DaemonThread.start("caller", () -> callUntilStopped(box)));
     }
   }
 
@@ -60,9 +56,9 @@
   }
 
   private void callUntilStopped(SoakBox box) {
-    HttpClient client = newClient();
+    HttpClient client = FleetCaller.newClient();
     for (int i = 0; !stopping; i++) {
-      String path = PATHS.get(i % PATHS.size());
+      String path = FleetConfiguration.PATHS.get(i % FleetConfiguration.PATHS.size());
       if (i % PROBE_EACH == 0 && !added.isEmpty()) {
         path = added.get(ThreadLocalRandom.current().nextInt(added.size()));
       }
@@ -70,10 +66,6 @@
     }
   }
 
-  static HttpClient newClient() {
-    return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  }
-
   /** Sends one request and notes how it ended. */
   SoakCall call(HttpClient client, SoakBox box, String path) {
     String id = nextId();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -220,8 +220,8 @@
   /** Notes a box that does not serve every kind of request within the bound for recovery. */
   private void expectServing(SoakBox box, String when) {
     long until = SoakCallers.millis() + RECOVERY.toMillis() * patience;
-    HttpClient client = SoakCallers.newClient();
-    for (String path : List.of("/once/", "/again/", "/resume/", "/staged/")) {
+    HttpClient client = FleetCaller.newClient();
+    for (String path : FleetConfiguration.PATHS) {
       SoakCall call = callers.call(client, box, path);
       while (!call.hasStatus(200) && SoakCallers.millis() < until) {
         call = callers.call(client, box, path);
