--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReadWriteLock;
 import java.util.concurrent.locks.ReentrantReadWriteLock;
 
@@ -116,21 +117,14 @@
     SoakStep[] all = SoakStep.values();
     while (SoakCallers.millis() < endMillis) {
       SoakStep step = all[random.nextInt(all.length)];
-      if (step.needsCalm()) {
-        calm.writeLock().lock();
-      } else {
-        calm.readLock().lock();
-      }
+      Lock lock = step.needsCalm() ? calm.writeLock() : calm.readLock();
+      lock.lock();
       try {
         note(step.name());
         step.play(this, random);
         note(step.name() + " over");
       } finally {
-        if (step.needsCalm()) {
-          calm.writeLock().unlock();
-        } else {
-          calm.readLock().unlock();
-        }
+        lock.unlock();
       }
     }
     return null;
