Boxes tell how stage calls were filled, how long each stage of a request waited, and what was expected

Cause: nothing told where the time of a request with stage work goes. Now a line for each stage call (pieces, most, what still waits, longest wait, expected and real time) and, with the end of a request, its stages (start, wait, whole time) and the expected time to the first event. What a request was sent to and may have run is a type of its own, SendHistory.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -8,6 +8,7 @@
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
 import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.event.EventLog;
 
 /** One call for a batch of pieces; gathers the answer. Confined to the event loop. */
 final class BatchCall implements CallListener {
@@ -23,6 +24,8 @@
   }
 
   private static final int MOST_BYTES = 1024 * 1024;
+  private static final long NANOS_OF_MILLI = 1_000_000;
+  private static final long BYTES_OF_KILOBYTE = 1024;
 
   private final BatchUpstream target;
   private final List<StagePiece> pieces;
@@ -67,6 +70,36 @@
     return pieces.stream().mapToLong(piece -> piece.group().group().resultBytes()).sum();
   }
 
+  /**
+   * Tells how the call went.
+   *
+   * @param waitingAfter pieces that wait for the next call
+   */
+  void tell(EventLog events, String service, int waitingAfter, long nowNanos) {
+    StageGroup first = pieces.get(0).group().group();
+    events
+        .step("stage-call")
+        .with("service", service)
+        .with("upstream", target.upstream().id())
+        .with("status", status)
+        .with("pieces", pieces.size())
+        .with("most", limits.itemsPerCall())
+        .with("waiting-after", waitingAfter)
+        .with("waited-ms", longestWaitMillis())
+        .with("expected-ms", (long) target.expectedMillis(limits, pieces.size()))
+        .with("ms", (nowNanos - startNanos) / NANOS_OF_MILLI)
+        .with("kb", resultBytes() / BYTES_OF_KILOBYTE)
+        .with("first-priority", first.priority())
+        .write();
+  }
+
+  private long longestWaitMillis() {
+    return pieces.stream()
+        .mapToLong(piece -> piece.group().waitedMillis(startNanos))
+        .max()
+        .orElse(0);
+  }
+
   void timedOut() {
     end(() -> listener.failed(this, Optional.empty()));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -150,7 +150,7 @@
     if (chosen.isEmpty()) {
       return false;
     }
-    chosen.forEach(piece -> piece.group().settleIn(target.upstream().zone()));
+    chosen.forEach(piece -> piece.group().called(target.upstream().zone(), now));
     BatchCall call = new BatchCall(target, chosen, limits, now, this);
     double expected = target.expectedMillis(limits, chosen.size());
     target.started(call.resultBytes(), expected, now);
@@ -216,6 +216,7 @@
   }
 
   private void ended(BatchCall call) {
+    call.tell(services.events(), service, waiting.size(), services.clock().nanos());
     call.target().ended(call.resultBytes());
     services.board().ended(call.target().upstream(), call.resultBytes());
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -21,6 +21,7 @@
   private final long dueNanos;
   private final long endNanos;
   private final @Nullable String[] handles;
+  private long lastCallNanos;
   private int missing;
   private boolean over;
 
@@ -33,6 +34,7 @@
     this.group = group;
     this.zone = zone;
     this.startNanos = nowNanos;
+    this.lastCallNanos = nowNanos;
     this.box = box;
     this.listener = listener;
     this.dueNanos = nowNanos + group.dueMillis() * 1_000_000;
@@ -50,8 +52,9 @@
     return zone;
   }
 
-  /** Notes where a piece is made, so that the others are made nearby. */
-  void settleIn(String firstZone) {
+  /** Notes when and where a piece is made, so that the others are made nearby. */
+  void called(String firstZone, long nowNanos) {
+    lastCallNanos = nowNanos;
     if (zone.isEmpty()) {
       zone = firstZone;
     }
@@ -119,6 +122,7 @@
 
   private void end(StageOutcome outcome, List<String> made, long comeBackMillis) {
     over = true;
-    listener.accept(new StageGroupResult(outcome, made, box, comeBackMillis));
+    long waited = Math.max(0, lastCallNanos - startNanos) / 1_000_000;
+    listener.accept(new StageGroupResult(outcome, made, box, comeBackMillis, waited));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -22,6 +22,7 @@
   private final long revision;
   private final RequestClock clock;
   private final FirstEventTimes firstEvents;
+  private final StageTimeline timeline;
   private final CallerResponse response;
   private final StringBuilder path = new StringBuilder();
   private long stagesMillis = -1;
@@ -36,6 +37,7 @@
       long revision,
       RequestClock clock,
       FirstEventTimes firstEvents,
+      StageTimeline timeline,
       CallerResponse response) {
     this.services = services;
     this.request = request;
@@ -43,6 +45,7 @@
     this.revision = revision;
     this.clock = clock;
     this.firstEvents = firstEvents;
+    this.timeline = timeline;
     this.response = response;
   }
 
@@ -129,6 +132,9 @@
         .with("left-ms", clock.leftMillis())
         .with("stages-ms", stagesMillis)
         .with("first-event-ms", firstEventMillis)
+        .with("expected-ms", timeline.expectedMillis())
+        .with("stages", timeline.toString())
+        .with("priority", route.priority())
         .with("upstreams", path.toString())
         .write();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -22,7 +22,6 @@
  */
 final class RelayExchange implements AttemptListener {
 
-  private static final int MOST_SENDS = 4;
   private static final int FIRST_FAILURE = 500;
   private static final int INPUTS_GONE = 409;
   private static final long FULL_PAUSE_MILLIS = 200;
@@ -36,16 +35,14 @@
   private final StagePlan plan;
   private final UpstreamCandidates candidates;
   private final String service;
+  private final SendHistory history;
   private @Nullable Attempt attempt;
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable AttemptWatch watch;
   private List<String> inputs = List.of();
   private Optional<String> passedOn;
   private boolean streaming;
-  private boolean maybeRan;
   private boolean inputsRemade;
-  private int sends;
-  private int runs;
 
   RelayExchange(
       RelayServices services,
@@ -59,12 +56,21 @@
     this.request = request;
     this.route = route;
     this.account = account;
+    this.history = new SendHistory(route);
     this.service = route.serviceFor(request.id().hashCode());
     long limit = Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
     this.clock = new RequestClock(services.clock(), limit, route.targetMillis());
+    StageTimeline timeline = new StageTimeline(clock);
     this.outcome =
         new ExchangeOutcome(
-            services, request, route, deployment.revision(), clock, firstEvents, response);
+            services,
+            request,
+            route,
+            deployment.revision(),
+            clock,
+            firstEvents,
+            timeline,
+            response);
     this.candidates = new UpstreamCandidates(services, service, request);
     this.plan =
         new StagePlan(
@@ -75,7 +81,8 @@
             clock,
             priority(),
             candidates.likelyZone(),
-            firstEvents.usualMillis(route.name()));
+            firstEvents.usualMillis(route.name()),
+            timeline);
     this.passedOn = request.resumeAfter();
   }
 
@@ -117,7 +124,6 @@
   }
 
   private void send(UpstreamRecord upstream) {
-    sends++;
     Attempt next = Attempt.create(services, upstream, route, request, this);
     attempt = next;
     AttemptFacts facts =
@@ -126,7 +132,7 @@
     ConnectionReuse reuse =
         route.repeatability().repeatable() ? ConnectionReuse.ANY : ConnectionReuse.RECENT;
     OutgoingRequest outgoing = services.protocol().encode(request, upstream, facts, reuse);
-    outcome.sent(upstream, sends);
+    outcome.sent(upstream, history.sent());
     next.started(services.caller().call(upstream, outgoing, next));
     watch(next);
   }
@@ -142,17 +148,13 @@
   }
 
   private void giveUpSilent(Attempt watched) {
-    if (watched == attempt && mayRunAgain()) {
+    if (watched == attempt && history.mayRunAgain()) {
       watched.cancel();
       services.board().failed(watched.upstream(), true, "silent");
       failed(watched, CallFailure.BROKEN);
     }
   }
 
-  private boolean mayRunAgain() {
-    return route.repeatability().repeatable() && runs + 1 < route.maxAttempts();
-  }
-
   @Override
   public void notRun(Attempt ended, int status, HttpHeaders headers, AnswerFacts facts) {
     stopWatch();
@@ -189,9 +191,8 @@
       again(failure.name(), Refusal.UPSTREAMS_FULL, false);
       return;
     }
-    maybeRan = true;
-    boolean mayRun = mayRunAgain();
-    runs++;
+    boolean mayRun = history.mayRunAgain();
+    history.mayHaveRun();
     if (mayRun) {
       again(failure.name(), Refusal.BROKEN, true);
     } else {
@@ -200,7 +201,7 @@
   }
 
   private void again(String why, Refusal otherwise, boolean counted) {
-    if (sends >= MOST_SENDS) {
+    if (history.exhausted()) {
       giveUp(otherwise, why);
     } else if (counted && !services.budget().trySpend(service)) {
       giveUp(otherwise, why + ", retry budget spent");
@@ -213,10 +214,10 @@
   public void answered(Attempt ended, int status, HttpHeaders headers, ByteBuf body) {
     stopWatch();
     boolean failure = status >= FIRST_FAILURE;
-    if (failure && mayRunAgain() && sends < MOST_SENDS && services.budget().trySpend(service)) {
+    boolean mayRunAgain = history.mayRunAgain() && !history.exhausted();
+    if (failure && mayRunAgain && services.budget().trySpend(service)) {
       body.release();
-      maybeRan = true;
-      runs++;
+      history.mayHaveRun();
       outcome.failed(ended.upstream(), CallFailure.BROKEN);
       dispatch();
       return;
@@ -249,14 +250,14 @@
 
   private void timeUp() {
     if (!outcome.isOver()) {
-      boolean idle = attempt == null && !maybeRan;
+      boolean idle = attempt == null && !history.maybeRan();
       finish(idle ? Refusal.LATE_NOT_RUN : Refusal.LATE, "time is up");
     }
   }
 
   /** Ends the request; where an attempt may have run, that is what the caller is told. */
   private void giveUp(Refusal refusal, String why) {
-    finish(maybeRan && refusal.notRun() ? Refusal.BROKEN : refusal, why);
+    finish(history.maybeRan() && refusal.notRun() ? Refusal.BROKEN : refusal, why);
   }
 
   private void finish(Refusal refusal, String why) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -40,6 +40,7 @@
   private final int priority;
   private final String zone;
   private final double firstEventMillis;
+  private final StageTimeline timeline;
   private final StageResults results;
   private final Set<Integer> running = new HashSet<>();
   private final Set<Integer> announced = new HashSet<>();
@@ -56,7 +57,8 @@
       RequestClock clock,
       int priority,
       String zone,
-      double firstEventMillis) {
+      double firstEventMillis,
+      StageTimeline timeline) {
     this.request = request;
     this.stages = route.stages();
     this.client = client;
@@ -65,6 +67,7 @@
     this.priority = priority;
     this.zone = zone;
     this.firstEventMillis = firstEventMillis;
+    this.timeline = timeline;
     this.estimate = new StageEstimate(request.pieces(), stages, deployment, client, priority);
   }
 
@@ -75,10 +78,12 @@
   void start(Consumer<List<String>> done, BiConsumer<Integer, StageGroupResult> failed) {
     onDone = done;
     onFailure = failed;
-    if (estimate.expectedMillis() + firstEventMillis > clock.targetLeftMillis() * TOLERANCE) {
+    double expected = estimate.expectedMillis() + firstEventMillis;
+    timeline.expected(expected);
+    if (expected > clock.targetLeftMillis() * TOLERANCE) {
       over = true;
       long comeBack = estimate.longestBacklogMillis();
-      failed.accept(0, new StageGroupResult(StageOutcome.LATE, List.of(), "", comeBack));
+      failed.accept(0, new StageGroupResult(StageOutcome.LATE, List.of(), "", comeBack, 0));
       return;
     }
     announceAll();
@@ -168,6 +173,7 @@
     }
     StageWork work = stages.get(stage);
     running.add(stage);
+    timeline.started(stage);
     withdraw(stage);
     List<String> inputs = new ArrayList<>();
     work.after().forEach(before -> inputs.addAll(results.of(before)));
@@ -193,6 +199,7 @@
 
   private void ended(int stage, StageGroupResult result) {
     running.remove(stage);
+    timeline.ended(stage, result);
     if (over) {
       client.free(stages.get(stage).service(), result.handles());
       return;
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/FakeStageWorkClient.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/FakeStageWorkClient.java
@@ -33,11 +33,11 @@
     int pieces = groups.stream().filter(g -> g.stage() == stage).findFirst().orElseThrow().pieces();
     List<String> handles =
         IntStream.range(0, pieces).mapToObj(piece -> stage + "-" + piece).toList();
-    listeners.get(stage).accept(new StageGroupResult(StageOutcome.MADE, handles, "box", 0));
+    listeners.get(stage).accept(new StageGroupResult(StageOutcome.MADE, handles, "box", 0, 0));
   }
 
   void end(int stage, StageOutcome outcome) {
-    listeners.get(stage).accept(new StageGroupResult(outcome, List.of(), "box", 0));
+    listeners.get(stage).accept(new StageGroupResult(outcome, List.of(), "box", 0, 0));
   }
 
   @Override
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
@@ -211,8 +211,10 @@
             List.of(pieces),
             Optional.of("key"));
     RequestClock clock = new RequestClock(() -> 0, 4_000, 2_000);
+    StageTimeline timeline = new StageTimeline(clock);
     StagePlan plan =
-        new StagePlan(request, deployment(route), route, client, clock, priority, "zone", 100);
+        new StagePlan(
+            request, deployment(route), route, client, clock, priority, "zone", 100, timeline);
     plan.start(
         handles -> outcomes.add("done " + handles),
         (stage, result) -> outcomes.add("failed " + stage + " " + result.outcome()));
