Among equally urgent accounts the priority of the route decides

Cause: all client accounts of the seat-reservation deployment have priority 1, and an account's priority took the place of the route's. So nothing was more urgent than anything else: in stage queues, in admission, and at the generating engines. The users' page says that the route's priority gives way to the account's; among equal accounts it now decides (Urgency: account first, then route).

Kept: it is what the users ask for.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import org.gradeledge.deployment.Urgency;
 
 /**
  * The pieces that admitted requests will want made once their earlier stages are done: those of
@@ -16,7 +17,7 @@
 public final class PiecesToCome {
 
   /** Priorities that are told apart; less urgent ones count as the last. */
-  static final int PRIORITIES = 4;
+  static final int PRIORITIES = Urgency.LEVELS;
 
   private final Map<String, long[]> own = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldByBox = new HashMap<>();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -13,6 +13,7 @@
 import org.gradeledge.deployment.ClientAccount;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.deployment.Urgency;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -138,7 +139,7 @@
   }
 
   private int priority() {
-    return account.flatMap(ClientAccount::priority).orElse(route.priority());
+    return Urgency.of(account.flatMap(ClientAccount::priority), route.priority()).rank();
   }
 
   private void watch(Attempt watched) {
