Inputs of a stage are given up once they have been fetched, not once the stage is done

Cause: room for results binds the calls of sms-notify: its results were kept until timetable-feed had made all pieces from them, although that service fetches them at the start of a call. The box that makes the calls now tells the request's box when all pieces of a group are in calls that have run for half of a call's fixed time; results that all takers have fetched are given up then. A piece that has to be made again after that may find its inputs gone; they are made again, as before (at most twice).

Hypothesis: fuller calls, shorter queues. The forecast of a queue is a type of its own, QueueForecast.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -100,6 +100,13 @@
         .orElse(0);
   }
 
+  /** Notes that the upstream has fetched the inputs of the pieces, if it is still at work. */
+  void inputsTaken() {
+    if (!over) {
+      pieces.forEach(piece -> piece.group().inputsTaken());
+    }
+  }
+
   void timedOut() {
     end(() -> listener.failed(this, Optional.empty()));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -53,7 +52,7 @@
   }
 
   /** Starts the work on a group; the listener hears once how it ended, unless it is cancelled. */
-  public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+  public void submit(StageGroup group, StageWorkListener listener) {
     queue(group.service()).submit(group, listener);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.UpstreamCall;
 import org.gradeledge.deployment.BatchLimits;
@@ -25,6 +24,12 @@
   private static final double FULL_PART_OF_CALL = 0.6;
   private static final long LOOK_AGAIN_MILLIS = 25;
 
+  /**
+   * An upstream fetches inputs as soon as a call's turn comes, which is at once where it is free. A
+   * part of the fixed time of a call, so that a slow upstream gets longer.
+   */
+  private static final double FETCHING_PART_OF_CALL = 0.5;
+
   private final String service;
   private final BatchServices services;
   private final EventLoop loop;
@@ -32,6 +37,7 @@
   private final HeldResults held;
   private final BatchUpstreams upstreams;
   private final PieceRetries retries;
+  private final QueueForecast forecast;
   private boolean lookingAgain;
 
   BatchQueue(String service, BatchServices services, EventLoop loop) {
@@ -41,9 +47,10 @@
     this.held = new HeldResults(services.clock(), services.board());
     this.upstreams = new BatchUpstreams(service, services, held);
     this.retries = new PieceRetries(service, services);
+    this.forecast = new QueueForecast(service, services, waiting, upstreams);
   }
 
-  void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+  void submit(StageGroup group, StageWorkListener listener) {
     GroupInProgress started =
         new GroupInProgress(
             group,
@@ -52,7 +59,7 @@
             services.clock().nanos(),
             listener);
     BatchLimits limits = services.limits(service).orElse(null);
-    if (limits == null || refusedAtOnce(started, limits)) {
+    if (limits == null || forecast.firstAndTooLate(started, limits)) {
       end(started, StageOutcome.LATE);
       return;
     }
@@ -60,20 +67,6 @@
     dispatch();
   }
 
-  /**
-   * Returns whether a request that has cost nothing yet would come too late behind what waits, so
-   * that it is better told now when to come back.
-   */
-  private boolean refusedAtOnce(GroupInProgress group, BatchLimits limits) {
-    if (!group.group().first()) {
-      return false;
-    }
-    long now = services.clock().nanos();
-    long ahead = waiting.aheadOf(group, limits.expectedMillis(1), now);
-    double own = limits.expectedMillis(Math.min(group.group().pieces(), limits.itemsPerCall()));
-    return !group.inTimeAfter(upstreams.backlogMillis(limits, ahead, now) + own, now);
-  }
-
   void expireResults() {
     held.expire();
   }
@@ -87,20 +80,9 @@
     dispatch();
   }
 
-  /**
-   * Returns about how long the pieces that can still be in time or are on their way, and are as
-   * urgent as a priority or more, keep the upstreams busy.
-   */
+  /** Returns how long what is as urgent as a priority or more keeps the upstreams busy. */
   long backlogMillis(int priority) {
-    return services.limits(service).map(limits -> backlogMillis(limits, priority)).orElse(0L);
-  }
-
-  private long backlogMillis(BatchLimits limits, int priority) {
-    long now = services.clock().nanos();
-    long pieces =
-        waiting.inTime(priority, limits.expectedMillis(1), now)
-            + services.toCome().total(service, priority);
-    return (long) upstreams.backlogMillis(limits, pieces, now);
+    return forecast.backlogMillis(priority);
   }
 
   /** Makes calls as long as there are pieces and upstreams that are free. */
@@ -166,6 +148,8 @@
                 target.upstream(), services.protocol().encodeCall(target.upstream(), items), call);
     long limit = (long) (expected * LIMIT_FACTOR) + LIMIT_EXTRA_MILLIS;
     loop.schedule(() -> giveUp(call, running), limit, TimeUnit.MILLISECONDS);
+    long fetched = (long) (target.expectedMillis(limits, 0) * FETCHING_PART_OF_CALL);
+    loop.schedule(call::inputsTaken, fetched, TimeUnit.MILLISECONDS);
     return true;
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** A group whose pieces are being made. Confined to the event loop. */
@@ -17,20 +16,17 @@
   private String zone;
   private final long startNanos;
   private final String box;
-  private final Consumer<StageGroupResult> listener;
+  private final StageWorkListener listener;
   private final long dueNanos;
   private final long endNanos;
   private final @Nullable String[] handles;
   private long lastCallNanos;
   private int missing;
+  private int piecesWithoutInputs;
   private boolean over;
 
   GroupInProgress(
-      StageGroup group,
-      String zone,
-      String box,
-      long nowNanos,
-      Consumer<StageGroupResult> listener) {
+      StageGroup group, String zone, String box, long nowNanos, StageWorkListener listener) {
     this.group = group;
     this.zone = zone;
     this.startNanos = nowNanos;
@@ -41,6 +37,7 @@
     this.endNanos = nowNanos + group.remainingMillis() * 1_000_000;
     this.handles = new String[group.pieces()];
     this.missing = group.pieces();
+    this.piecesWithoutInputs = group.inputs().isEmpty() ? 0 : group.pieces();
   }
 
   StageGroup group() {
@@ -96,6 +93,14 @@
     return dueNanos + group.priority() * PRIORITY_NANOS;
   }
 
+  /** Notes that an upstream has fetched the inputs for one more piece. */
+  void inputsTaken() {
+    piecesWithoutInputs--;
+    if (piecesWithoutInputs == 0 && !over) {
+      listener.inputsTaken();
+    }
+  }
+
   void made(int index, String handle) {
     handles[index] = handle;
     missing--;
@@ -123,6 +128,6 @@
   private void end(StageOutcome outcome, List<String> made, long comeBackMillis) {
     over = true;
     long waited = Math.max(0, lastCallNanos - startNanos) / 1_000_000;
-    listener.accept(new StageGroupResult(outcome, made, box, comeBackMillis, waited));
+    listener.ended(new StageGroupResult(outcome, made, box, comeBackMillis, waited));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageWorkClient.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 /**
  * Has stage work done, by this box or by another one.
@@ -12,7 +11,7 @@
 public interface StageWorkClient {
 
   /** Starts the work on a group; the listener hears once how it ended, unless it is cancelled. */
-  void submit(StageGroup group, Consumer<StageGroupResult> listener);
+  void submit(StageGroup group, StageWorkListener listener);
 
   /**
    * Returns about how long what waits for a service or is on its way to it, as urgent as a priority
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -101,8 +101,9 @@
 
   /** Returns what has stage work done by one box for each service. */
   public StageWorkClient stageWork(BatchCoordinator coordinator) {
-    StageWorkHandler handler = new StageWorkHandler(coordinator);
-    network.register(MeshMessages.STAGE_WORK, (from, group) -> onLoop(() -> handler.work(group)));
+    StageWorkHandler handler = new StageWorkHandler(coordinator, network);
+    network.register(
+        MeshMessages.STAGE_WORK, (from, group) -> onLoop(() -> handler.work(from.boxId(), group)));
     network.register(
         MeshMessages.STAGE_CANCEL,
         (from, message) -> done(() -> coordinator.cancel(message.service(), message.requestId())));
@@ -112,6 +113,9 @@
     backlogs = coordinator::backlogMillis;
     MeshStageWorkClient client =
         new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome);
+    network.register(
+        MeshMessages.STAGE_INPUTS_TAKEN,
+        (from, message) -> done(() -> client.inputsTaken(from.boxId(), message)));
     peers.onLost(client::lost);
     onBacklogs = client::heardBacklogs;
     return client;
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshMessages.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshMessages.java
@@ -20,5 +20,8 @@
   static final PeerMessageType<StageFree> STAGE_FREE =
       new PeerMessageType<>("stage-free", StageFree.class);
 
+  static final PeerMessageType<StageInputsTaken> STAGE_INPUTS_TAKEN =
+      new PeerMessageType<>("stage-inputs-taken", StageInputsTaken.class);
+
   private MeshMessages() {}
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -8,13 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.gradeledge.batch.BatchCoordinator;
 import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.batch.StageWorkListener;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.selection.RendezvousHash;
 
@@ -41,7 +41,7 @@
   private Set<String> coordinatorsAmong = Set.of();
 
   /** A group that another box works on. */
-  private record Placement(StageGroup group, Consumer<StageGroupResult> listener) {}
+  private record Placement(StageGroup group, StageWorkListener listener) {}
 
   MeshStageWorkClient(
       String self,
@@ -63,7 +63,7 @@
    * since boxes that choose by different views call the same upstreams.
    */
   @Override
-  public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+  public void submit(StageGroup group, StageWorkListener listener) {
     if (peers.settled()) {
       place(group, listener);
       return;
@@ -79,7 +79,7 @@
     }
   }
 
-  private void place(StageGroup group, Consumer<StageGroupResult> listener) {
+  private void place(StageGroup group, StageWorkListener listener) {
     String box = coordinator(group.service());
     if (box.equals(self)) {
       local.submit(group, listener);
@@ -119,7 +119,7 @@
       return;
     }
     result.handles().forEach(handle -> makers.put(handle, result.box()));
-    placement.listener().accept(result);
+    placement.listener().ended(result);
   }
 
   private void takeOver(Placement placement) {
@@ -128,6 +128,16 @@
     }
   }
 
+  /** Hears from a box that works on a group that its inputs have been fetched. */
+  void inputsTaken(String box, StageInputsTaken message) {
+    Set.copyOf(placed.entrySet()).stream()
+        .filter(entry -> entry.getValue().equals(box))
+        .map(entry -> entry.getKey())
+        .filter(placement -> placement.group().requestId().equals(message.requestId()))
+        .filter(placement -> placement.group().stage() == message.stage())
+        .forEach(placement -> placement.listener().inputsTaken());
+  }
+
   /** Does the work itself that a box had which is not heard any more. */
   void lost(String box) {
     toldBacklogs.remove(box);
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/StageWorkHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/StageWorkHandler.java
@@ -4,6 +4,8 @@
 import org.gradeledge.batch.BatchCoordinator;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
+import org.gradeledge.batch.StageWorkListener;
+import org.gradeledge.peer.PeerNetwork;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -11,31 +13,57 @@
 final class StageWorkHandler {
 
   private final BatchCoordinator coordinator;
+  private final PeerNetwork network;
 
-  StageWorkHandler(BatchCoordinator coordinator) {
+  StageWorkHandler(BatchCoordinator coordinator, PeerNetwork network) {
     this.coordinator = coordinator;
+    this.network = network;
   }
 
   /** Starts the work; if nobody waits for it any more it is cancelled, and its results given up. */
-  Mono<StageGroupResult> work(StageGroup group) {
+  Mono<StageGroupResult> work(String box, StageGroup group) {
     return Mono.create(
         sink -> {
-          AtomicBoolean wanted = new AtomicBoolean(true);
-          sink.onCancel(
-              () -> {
-                wanted.set(false);
-                coordinator.cancel(group.service(), group.requestId());
-              });
-          coordinator.submit(group, result -> hand(sink, wanted, result));
+          Handed handed = new Handed(box, group, sink);
+          sink.onCancel(handed::cancel);
+          coordinator.submit(group, handed);
         });
   }
 
-  private void hand(
-      MonoSink<StageGroupResult> sink, AtomicBoolean wanted, StageGroupResult result) {
-    if (wanted.get()) {
-      sink.success(result);
-    } else {
-      coordinator.free(result.handles());
+  /** A group of another box, which hears how it goes as long as it waits for it. */
+  private final class Handed implements StageWorkListener {
+
+    private final String box;
+    private final StageGroup group;
+    private final MonoSink<StageGroupResult> sink;
+    private final AtomicBoolean wanted = new AtomicBoolean(true);
+
+    Handed(String box, StageGroup group, MonoSink<StageGroupResult> sink) {
+      this.box = box;
+      this.group = group;
+      this.sink = sink;
+    }
+
+    void cancel() {
+      wanted.set(false);
+      coordinator.cancel(group.service(), group.requestId());
+    }
+
+    @Override
+    public void ended(StageGroupResult result) {
+      if (wanted.get()) {
+        sink.success(result);
+      } else {
+        coordinator.free(result.handles());
+      }
+    }
+
+    @Override
+    public void inputsTaken() {
+      network.tell(
+          box,
+          MeshMessages.STAGE_INPUTS_TAKEN,
+          new StageInputsTaken(group.requestId(), group.stage()));
     }
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -13,6 +13,7 @@
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageOutcome;
 import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.batch.StageWorkListener;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.deployment.StageWork;
@@ -194,7 +195,29 @@
             clock.leftMillis(),
             clock.leftOfPartMillis(MOST_OF_TIME_WAITED),
             results.isEmpty());
-    client.submit(group, result -> ended(stage, result));
+    client.submit(group, new StageListener(stage));
+  }
+
+  /** Hears how one stage goes. */
+  private final class StageListener implements StageWorkListener {
+
+    private final int stage;
+
+    StageListener(int stage) {
+      this.stage = stage;
+    }
+
+    @Override
+    public void ended(StageGroupResult result) {
+      StagePlan.this.ended(stage, result);
+    }
+
+    @Override
+    public void inputsTaken() {
+      if (!over && running.contains(stage)) {
+        results.inputsTaken(stage);
+      }
+    }
   }
 
   private void ended(int stage, StageGroupResult result) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StageResults.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StageResults.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.deployment.StageWork;
@@ -18,6 +20,7 @@
   private final List<StageWork> stages;
   private final StageWorkClient client;
   private final Map<Integer, List<String>> handles = new HashMap<>();
+  private final Set<Integer> fetched = new HashSet<>();
 
   StageResults(List<Integer> pieces, List<StageWork> stages, StageWorkClient client) {
     this.pieces = pieces;
@@ -57,16 +60,27 @@
 
   void put(int stage, List<String> made) {
     handles.put(stage, made);
+    inputsTaken(stage);
+  }
+
+  /**
+   * Notes that the inputs of a stage have been fetched; results that all their takers have fetched
+   * are given up, since the room that they take keeps the upstream from its next calls.
+   */
+  void inputsTaken(int stage) {
+    fetched.add(stage);
     IntStream.range(0, stages.size())
-        .filter(earlier -> isTaken(earlier) && takers(earlier).allMatch(this::has))
+        .filter(earlier -> isTaken(earlier) && takers(earlier).allMatch(fetched::contains))
         .forEach(this::free);
   }
 
   /** Forgets the results that a stage takes, so that they are made again. */
   void forgetInputs(int stage) {
+    fetched.remove(stage);
     for (int before : stages.get(stage).after()) {
       client.free(stages.get(before).service(), of(before));
       handles.remove(before);
+      fetched.remove(before);
       if (stages.get(before).after().stream().anyMatch(this::isFreed)) {
         forgetInputs(before);
       }
@@ -77,6 +91,7 @@
   void freeAll() {
     handles.forEach((stage, made) -> client.free(stages.get(stage).service(), made));
     handles.clear();
+    fetched.clear();
   }
 
   /** Returns the results that no stage takes. */
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/FakeStageWorkClient.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/FakeStageWorkClient.java
@@ -7,18 +7,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageOutcome;
 import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.batch.StageWorkListener;
 
 /** Keeps the groups it was given until the test ends them. */
 final class FakeStageWorkClient implements StageWorkClient {
 
   final List<StageGroup> groups = new ArrayList<>();
-  private final Map<Integer, Consumer<StageGroupResult>> listeners = new HashMap<>();
+  private final Map<Integer, StageWorkListener> listeners = new HashMap<>();
   final Map<String, Long> backlogs = new HashMap<>();
   final List<String> freed = new ArrayList<>();
   final List<String> cancelled = new ArrayList<>();
@@ -33,15 +33,15 @@
     int pieces = groups.stream().filter(g -> g.stage() == stage).findFirst().orElseThrow().pieces();
     List<String> handles =
         IntStream.range(0, pieces).mapToObj(piece -> stage + "-" + piece).toList();
-    listeners.get(stage).accept(new StageGroupResult(StageOutcome.MADE, handles, "box", 0, 0));
+    listeners.get(stage).ended(new StageGroupResult(StageOutcome.MADE, handles, "box", 0, 0));
   }
 
   void end(int stage, StageOutcome outcome) {
-    listeners.get(stage).accept(new StageGroupResult(outcome, List.of(), "box", 0, 0));
+    listeners.get(stage).ended(new StageGroupResult(outcome, List.of(), "box", 0, 0));
   }
 
   @Override
-  public void submit(StageGroup group, Consumer<StageGroupResult> listener) {
+  public void submit(StageGroup group, StageWorkListener listener) {
     groups.add(group);
     listeners.put(group.stage(), listener);
     if (refusedAtOnce.contains(group.stage())) {
