What waits counts the more urgent arrivals that will pass it

Cause: a less urgent request is admitted by what waits now; while it waits, more urgent pieces go on arriving and go before it, so it comes late after its stage work was paid for. At least 0.15 of the time counts as left, so that nothing is refused for good.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -63,6 +63,7 @@
       end(started, StageOutcome.LATE);
       return;
     }
+    forecast.arrived(group);
     waiting.add(started);
     dispatch();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -22,6 +22,7 @@
   private static final double ROOM_USED = 0.97;
 
   private static final double HURRY_CALLS = 2;
+  private static final double MILLIS_OF_SECOND = 1e3;
 
   private final String service;
   private final BatchServices services;
@@ -72,6 +73,13 @@
     return Math.max(0, soonestFree) + work * slowness / known.size();
   }
 
+  /** Returns the time of all upstreams together that a piece takes in full calls. */
+  double secondsOfPiece(BatchLimits limits) {
+    int most = limits.itemsPerCall();
+    double each = limits.expectedMillis(most) / most / MILLIS_OF_SECOND;
+    return each / Math.max(1, usable().size());
+  }
+
   /** Returns the room for results that an upstream has left. */
   long roomBytes(BatchUpstream target, BatchLimits limits) {
     return held.isFull(target.upstream().id())
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
@@ -8,13 +8,18 @@
  */
 final class QueueForecast {
 
+  /** More urgent arrivals come in bursts; a rate of the moment never stops all others for good. */
+  private static final double LEAST_LEFT = 0.15;
+
   private final String service;
   private final BatchServices services;
   private final WaitingPieces waiting;
   private final BatchUpstreams upstreams;
+  private final ArrivalRates arrivals;
 
   QueueForecast(
       String service, BatchServices services, WaitingPieces waiting, BatchUpstreams upstreams) {
+    this.arrivals = new ArrivalRates(services.clock());
     this.service = service;
     this.services = services;
     this.waiting = waiting;
@@ -32,7 +37,8 @@
     long now = services.clock().nanos();
     long ahead = waiting.aheadOf(group, limits.expectedMillis(1), now);
     double own = limits.expectedMillis(Math.min(group.group().pieces(), limits.itemsPerCall()));
-    return !group.inTimeAfter(upstreams.backlogMillis(limits, ahead, now) + own, now);
+    double wait = upstreams.backlogMillis(limits, ahead, now);
+    return !group.inTimeAfter(wait / leftFor(group.group().priority(), limits) + own, now);
   }
 
   /**
@@ -48,6 +54,21 @@
     long pieces =
         waiting.inTime(priority, limits.expectedMillis(1), now)
             + services.toCome().total(service, priority);
-    return (long) upstreams.backlogMillis(limits, pieces, now);
+    return (long) (upstreams.backlogMillis(limits, pieces, now) / leftFor(priority, limits));
+  }
+
+  /** Counts pieces that have just been handed to the service. */
+  void arrived(StageGroup group) {
+    arrivals.arrived(group.priority(), group.pieces());
+  }
+
+  /**
+   * Returns the part of the upstreams' time that is left for what is no more urgent than a
+   * priority: while it waits, more urgent pieces go on arriving and go before it (the wait of a
+   * priority queue, as A. Cobham gave it in 1954).
+   */
+  private double leftFor(int priority, BatchLimits limits) {
+    double taken = arrivals.perSecondBefore(priority) * upstreams.secondsOfPiece(limits);
+    return Math.max(LEAST_LEFT, 1 - taken);
   }
 }
