--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -77,7 +78,8 @@
 
   /**
    * Returns how long what waits here or is on its way keeps each service busy, in milliseconds: for
-   * each priority from 0 what is as urgent or more.
+   * each priority from 0 what is as urgent or more; priorities after the first that has all of it
+   * are left out, as heartbeats carry these lists.
    */
   public Map<String, List<Long>> backlogMillis() {
     queues.values().forEach(BatchQueue::expireResults);
@@ -95,7 +97,12 @@
   }
 
   private static List<Long> byPriority(BatchQueue queue) {
-    return IntStream.range(0, PiecesToCome.PRIORITIES).mapToObj(queue::backlogMillis).toList();
+    long all = queue.backlogMillis(PiecesToCome.PRIORITIES - 1);
+    Stream<Long> rising =
+        IntStream.range(0, PiecesToCome.PRIORITIES)
+            .mapToObj(queue::backlogMillis)
+            .takeWhile(millis -> millis < all);
+    return Stream.concat(rising, Stream.of(all)).toList();
   }
 
   private BatchQueue queue(String service) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PiecesToCome.java
@@ -32,7 +32,10 @@
     add(service, priority, -pieces);
   }
 
-  /** Returns the pieces to come of this box's requests, by service and priority. */
+  /**
+   * Returns the pieces to come of this box's requests, by service and priority; priorities after
+   * the last one with any are left out, as heartbeats of many boxes carry these lists.
+   */
   public Map<String, List<Long>> own() {
     Map<String, List<Long>> counts = new HashMap<>();
     own.forEach((service, pieces) -> putIfAny(counts, service, pieces));
@@ -40,8 +43,12 @@
   }
 
   private static void putIfAny(Map<String, List<Long>> counts, String service, long[] pieces) {
-    if (Arrays.stream(pieces).anyMatch(count -> count != 0)) {
-      counts.put(service, Arrays.stream(pieces).boxed().toList());
+    int levels = PRIORITIES;
+    while (levels > 0 && pieces[levels - 1] == 0) {
+      levels--;
+    }
+    if (levels > 0) {
+      counts.put(service, Arrays.stream(pieces, 0, levels).boxed().toList());
     }
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/PiecesToComeTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/PiecesToComeTests.java
@@ -22,6 +22,16 @@
     assertThat(toCome.total("b", 9)).isZero();
   }
 
+  @Test
+  void whatIsToldEndsWithTheLastPriorityThatHasAny() {
+    toCome.add("a", 0, 2);
+    toCome.add("a", 2, 5);
+    toCome.add("b", 1, 1);
+    toCome.remove("b", 1, 1);
+
+    assertThat(toCome.own()).containsExactly(Map.entry("a", List.of(2L, 0L, 5L)));
+  }
+
   @Test
   void forgetsAPeerThatIsLostAndWhatIsNotToComeAnyMore() {
     toCome.told("peer", Map.of("a", List.of(7L)));
