Groups without inputs tell only their end

Cause: since pieces are noted by their number, the box of a request was also told that the inputs of a group without any had been fetched: a message for each first stage that says nothing. InputsTakenTests.aGroupWithoutInputsTellsOnlyItsEnd holds it; whether it tells depends on the timer, so that it was not seen to fail before.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -97,7 +97,7 @@
   void inputsTaken(int index) {
     boolean hadAll = hasAllInputs();
     withInputs.set(index);
-    if (!over && !hadAll && hasAllInputs()) {
+    if (!over && !hadAll && hasAllInputs() && !group.inputs().isEmpty()) {
       listener.inputsTaken();
     }
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/InputsTakenTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/InputsTakenTests.java
@@ -54,6 +54,20 @@
     assertThat(heard.poll(10, TimeUnit.SECONDS)).isEqualTo("MADE");
   }
 
+  @Test
+  void aGroupWithoutInputsTellsOnlyItsEnd() throws Exception {
+    BatchCoordinator coordinator = coordinator();
+    UpstreamRecord upstream = new UpstreamRecord("u1", "service", "10.0.0.1", 1, "z", 1, false);
+    loop.submit(() -> upstreams.replaceAll(1, List.of(upstream))).sync();
+    loop.submit(() -> coordinator.submit(StageGroups.group("a", 1), new Recorder())).sync();
+
+    FakeUpstreamCaller.Call call = caller.next();
+    loop.submit(call::sent).sync();
+    loop.submit(() -> call.answer(200, "10.0.0.1:1/0")).sync();
+
+    assertThat(heard).containsExactly("MADE");
+  }
+
   private final class Recorder implements StageWorkListener {
 
     @Override
