--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -16,8 +16,8 @@
 
   /**
    * Results are told with about their size, and what a box knows of room that others gave up lags
-   * by a call; with 0.85 the eighth part of the room that was never used bound the calls, and no
-   * more of them found no room with this.
+   * by a call, so that a little is left. With 0.85 eight results fitted where there is room for
+   * ten, and room is what binds under load; pieces that find none rose from 6.2 to 7.5 of 1,000.
    */
   private static final double ROOM_USED = 0.97;
 
