Boxes connect with those that they need, and notice a connection that has gone silent

Cause: among many boxes each held a connection with every other one (61 boxes: 1,830, 95 boxes: 4,465), opened all of them again at each start, and looked at each connected peer every 50 to 400 ms for good, by an exception and a timer on a second thread.

Ruled out: waiting for a connection's end alone (tried before: the looks go, the start of 95 boxes still opens a full mesh); closing by a timer of its own (the heartbeat's tick does it).

Change: among more than 12 boxes a box keeps up connections with the first three of its zone, a relay with three of each other zone too, and opens others when it hands on work; what rested for 10 s is closed. A box that is lost is tried by all that hear each other, each lost one about five times a second in all. What is sent on a connection that nothing came on for 1.5 s is followed by a probe; no answer within 1.5 s closes it. Time-outs of connections run on the event loop.

Tests: PeerDialerTests (a connected peer is looked at once; the code before looked every 400 ms), PeerProbeTests, LostBoxesTests, HeartbeatRoutesTests, ManyBoxesTests (ends of connections at 18 boxes; a box whose seeds are gone).

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -6,17 +6,20 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.gradeledge.batch.BatchCoordinator;
 import org.gradeledge.batch.PiecesToCome;
+import org.gradeledge.batch.StageGroup;
+import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
-import org.gradeledge.peer.PeerAddress;
+import org.gradeledge.peer.PeerIdentity;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.time.MonotonicClock;
@@ -52,10 +55,12 @@
   private Supplier<Map<String, List<Long>>> backlogs = Map::of;
   private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
   private Runnable onUpstreamNews = () -> {};
+  private final MeshLinks links;
   private final HeartbeatRelay relay;
   private final HeartbeatRoutes routes;
   private final DocumentExchange documents;
   private final HeartbeatSender sender;
+  private final LostBoxes lost;
   private long newestConfiguration = -1;
   private long newestUpstreams = -1;
   private boolean leaving;
@@ -90,20 +95,23 @@
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
     this.peers = new PeerBoard(self, zone, clock, events);
     this.relay = new HeartbeatRelay(self, clock);
-    this.routes = new HeartbeatRoutes(self, zone, peers, network::connectedIds);
-    this.documents = new DocumentExchange(network, loop, deployments, upstreams);
-    this.sender = new HeartbeatSender(network, loop, clock, peers, routes, relay, this::own);
+    this.links = new MeshLinks(network, clock);
+    this.routes =
+        new HeartbeatRoutes(self, zone, peers, network::connectedIds, links::isUnreachable);
+    this.documents = new DocumentExchange(links, loop, deployments, upstreams);
+    this.sender = new HeartbeatSender(network, loop, clock, peers, routes, relay, links, this::own);
+    this.lost = new LostBoxes(peers, known, new Random());
     peers.onLost(relay::forget);
     peers.onLost(box -> board.setPeerShares(box, Map.of()));
     peers.onLost(toCome::forget);
-    peers.onLost(network::disconnect);
+    peers.onLost(links::lost);
   }
 
   /** Returns what has stage work done by one box for each service. */
   public StageWorkClient stageWork(BatchCoordinator coordinator) {
-    StageWorkHandler handler = new StageWorkHandler(coordinator, network);
+    StageWorkHandler handler = new StageWorkHandler(coordinator, links);
     network.register(
-        MeshMessages.STAGE_WORK, (from, group) -> onLoop(() -> handler.work(from.boxId(), group)));
+        MeshMessages.STAGE_WORK, (from, group) -> onLoop(() -> work(handler, from, group)));
     network.register(
         MeshMessages.STAGE_CANCEL,
         (from, message) -> done(() -> coordinator.cancel(message.service(), message.requestId())));
@@ -112,7 +120,7 @@
         (from, message) -> done(() -> coordinator.free(message.handles())));
     backlogs = coordinator::backlogMillis;
     MeshStageWorkClient client =
-        new MeshStageWorkClient(self, network, peers, coordinator, loop, toCome);
+        new MeshStageWorkClient(self, links, peers, coordinator, loop, toCome);
     network.register(
         MeshMessages.STAGE_INPUTS_TAKEN,
         (from, message) -> done(() -> client.inputsTaken(from.boxId(), message)));
@@ -121,6 +129,12 @@
     return client;
   }
 
+  private Mono<StageGroupResult> work(
+      StageWorkHandler handler, PeerIdentity from, StageGroup group) {
+    links.use(from.boxId());
+    return handler.work(from.boxId(), group);
+  }
+
   /** Listens and starts to tell. */
   public Mono<? extends DisposableServer> start(InetSocketAddress listen) {
     network.register(
@@ -176,10 +190,16 @@
     loop.schedule(this::beat, sender.intervalMillis(), TimeUnit.MILLISECONDS);
   }
 
+  /** Few boxes are all connected; among many each keeps up those that it needs. */
   private void connect() {
-    Set<String> wanted = new HashSet<>(known);
-    wanted.addAll(seeds);
-    network.setPeers(wanted.stream().map(BoxMesh::address).toList());
+    if (!routes.many()) {
+      links.use(known);
+      links.keepUp(seeds);
+      return;
+    }
+    links.use(sender.neighbours());
+    links.keepUp(sender.hearsDigests() ? List.of() : seeds);
+    lost.next().ifPresent(sender::meet);
   }
 
   private Heartbeat own() {
@@ -239,10 +259,4 @@
   private Mono<Void> done(Runnable action) {
     return Mono.fromRunnable(() -> loop.execute(action));
   }
-
-  private static PeerAddress address(String box) {
-    int colon = box.lastIndexOf(':');
-    return new PeerAddress(
-        box, 0, box.substring(0, colon), Integer.parseInt(box.substring(colon + 1)));
-  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
-import org.gradeledge.peer.PeerNetwork;
 
 /**
  * Learns from other boxes the configuration and the list of upstreams that this one could not read
@@ -21,15 +20,12 @@
   private final DocumentLearner<UpstreamList> lists;
 
   DocumentExchange(
-      PeerNetwork network,
-      EventLoop loop,
-      DeploymentRegistry deployments,
-      UpstreamRegistry upstreams) {
+      MeshLinks links, EventLoop loop, DeploymentRegistry deployments, UpstreamRegistry upstreams) {
     this.deployments = deployments;
     this.upstreams = upstreams;
     this.configurations =
         new DocumentLearner<>(
-            network,
+            links,
             loop,
             MeshMessages.CONFIGURATION,
             DocumentAnswer.class,
@@ -37,7 +33,7 @@
             (box, answer) -> deployments.offer(answer.document(), box));
     this.lists =
         new DocumentLearner<>(
-            network,
+            links,
             loop,
             MeshMessages.UPSTREAMS,
             UpstreamList.class,
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentLearner.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentLearner.java
@@ -6,7 +6,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.gradeledge.peer.PeerMessageType;
-import org.gradeledge.peer.PeerNetwork;
 
 /**
  * Asks other boxes for one document, one at a time, as long as this box has none as new. Confined
@@ -16,7 +15,7 @@
 
   private static final Duration ANSWER_LIMIT = Duration.ofMillis(800);
 
-  private final PeerNetwork network;
+  private final MeshLinks links;
   private final EventLoop loop;
   private final PeerMessageType<DocumentRequest> question;
   private final Class<A> answerType;
@@ -31,13 +30,13 @@
    * @param taker takes what a box answered
    */
   DocumentLearner(
-      PeerNetwork network,
+      MeshLinks links,
       EventLoop loop,
       PeerMessageType<DocumentRequest> question,
       Class<A> answerType,
       LongSupplier ownRevision,
       BiConsumer<String, A> taker) {
-    this.network = network;
+    this.links = links;
     this.loop = loop;
     this.question = question;
     this.answerType = answerType;
@@ -57,7 +56,7 @@
       return;
     }
     learning = true;
-    network
+    links
         .ask(box, question, new DocumentRequest(ownRevision.getAsLong()), answerType, ANSWER_LIMIT)
         .doFinally(signal -> loop.execute(() -> learning = false))
         .subscribe(answer -> loop.execute(() -> taker.accept(box, answer)), failure -> {});
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.gradeledge.selection.RendezvousHash;
 
@@ -9,7 +10,9 @@
  * Whom a box tells what it has. Few boxes tell all others. Among many, each tells two relays of its
  * zone, and the relays of different zones tell each other; so what a box sends and receives does
  * not grow with the number of boxes, but for the digests' length. Relays are those that rank first
- * by rendezvous hashing among the boxes that are heard and connected. Confined to the event loop.
+ * by rendezvous hashing among the boxes that are heard and connected. Connections are kept up with
+ * those and one spare of each zone alone, so that they do not grow with the number of boxes either.
+ * Confined to the event loop.
  */
 final class HeartbeatRoutes {
 
@@ -18,16 +21,32 @@
 
   private static final int RELAYS_OF_ZONE = 2;
 
+  /** Relays and a spare, which takes the place of one whose connection ends without a dial. */
+  private static final int CANDIDATES_OF_ZONE = RELAYS_OF_ZONE + 1;
+
   private final String self;
   private final String zone;
   private final PeerBoard peers;
   private final Supplier<Set<String>> connected;
+  private final Predicate<String> unreachable;
 
-  HeartbeatRoutes(String self, String zone, PeerBoard peers, Supplier<Set<String>> connected) {
+  /**
+   * Creates the routes of a box.
+   *
+   * @param connected the boxes that this one is connected with
+   * @param unreachable whether the last dial of a box came to nothing
+   */
+  HeartbeatRoutes(
+      String self,
+      String zone,
+      PeerBoard peers,
+      Supplier<Set<String>> connected,
+      Predicate<String> unreachable) {
     this.self = self;
     this.zone = zone;
     this.peers = peers;
     this.connected = connected;
+    this.unreachable = unreachable;
   }
 
   /** Returns whether there are so many boxes that heartbeats are relayed. */
@@ -37,12 +56,12 @@
 
   /** Returns the relays of the own zone, without this box. */
   List<String> ownRelays() {
-    return others(relays(zone, connected.get()));
+    return others(relays(zone, connected.get()::contains));
   }
 
   /** Returns whether this box is a relay of its zone. */
   boolean isRelay() {
-    return relays(zone, connected.get()).contains(self);
+    return relays(zone, unreachable.negate()).contains(self);
   }
 
   /** Returns the relays of all other zones. */
@@ -50,7 +69,20 @@
     Set<String> reachable = connected.get();
     return peers.zones().stream()
         .filter(other -> !other.equals(zone))
-        .flatMap(other -> relays(other, reachable).stream())
+        .flatMap(other -> relays(other, reachable::contains).stream())
+        .toList();
+  }
+
+  /** Returns the boxes of the own zone to be connected with for heartbeats. */
+  List<String> ownCandidates() {
+    return others(first(zone, unreachable.negate(), CANDIDATES_OF_ZONE));
+  }
+
+  /** Returns the boxes of other zones that a relay is to be connected with for digests. */
+  List<String> foreignCandidates() {
+    return peers.zones().stream()
+        .filter(other -> !other.equals(zone))
+        .flatMap(other -> first(other, unreachable.negate(), CANDIDATES_OF_ZONE).stream())
         .toList();
   }
 
@@ -62,12 +94,16 @@
         .anyMatch(self::equals);
   }
 
-  private List<String> relays(String ofZone, Set<String> reachable) {
+  private List<String> relays(String ofZone, Predicate<String> usable) {
+    return first(ofZone, usable, RELAYS_OF_ZONE);
+  }
+
+  private List<String> first(String ofZone, Predicate<String> usable, int count) {
     return peers.working().stream()
-        .filter(box -> box.equals(self) || reachable.contains(box))
+        .filter(box -> box.equals(self) || usable.test(box))
         .filter(box -> peers.zoneOf(box).filter(ofZone::equals).isPresent())
         .sorted(RendezvousHash.byRank("relay"))
-        .limit(RELAYS_OF_ZONE)
+        .limit(count)
         .toList();
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,6 +34,7 @@
   private final HeartbeatRoutes routes;
   private final HeartbeatRelay relay;
   private final Supplier<Heartbeat> own;
+  private final MeshLinks links;
   private final Map<String, Long> introducedNanos = new HashMap<>();
   private long digestNanos;
   private long beats;
@@ -45,8 +47,10 @@
       PeerBoard peers,
       HeartbeatRoutes routes,
       HeartbeatRelay relay,
+      MeshLinks links,
       Supplier<Heartbeat> own) {
     this.network = network;
+    this.links = links;
     this.loop = loop;
     this.clock = clock;
     this.peers = peers;
@@ -110,10 +114,32 @@
     long last = introducedNanos.getOrDefault(box, now - INTRODUCTION_PAUSE.toNanos());
     if (routes.many() && now - last >= INTRODUCTION_PAUSE.toNanos()) {
       introducedNanos.put(box, now);
-      network.tell(box, MeshMessages.DIGEST, relay.ofAll(own.get()));
+      links.tellIfReached(box, MeshMessages.DIGEST, relay.ofAll(own.get()));
     }
   }
 
+  /**
+   * Tries to meet a box that is not heard, and tells it of all that are: it has come back, or two
+   * parts of the deployment were cut from each other.
+   */
+  void meet(String box) {
+    links.tellIfReached(box, MeshMessages.DIGEST, relay.ofAll(own.get()));
+  }
+
+  /**
+   * Returns the boxes to be connected with for heartbeats, where there are many. A box that others
+   * asked to relay, or that ranks among the relays of its zone, needs those of other zones too.
+   */
+  Set<String> neighbours() {
+    Set<String> flock = relay.flock(silenceMillis());
+    Set<String> boxes = new HashSet<>(routes.ownCandidates());
+    boxes.addAll(flock);
+    if (!flock.isEmpty() || routes.isRelay()) {
+      boxes.addAll(routes.foreignCandidates());
+    }
+    return boxes;
+  }
+
   /** Notes that a digest has come. */
   void heardDigest() {
     digestNanos = clock.nanos();
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -15,7 +15,6 @@
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.batch.StageWorkListener;
-import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.selection.RendezvousHash;
 
 /**
@@ -29,7 +28,7 @@
   private static final long LOOK_AGAIN_MILLIS = 50;
 
   private final String self;
-  private final PeerNetwork network;
+  private final MeshLinks links;
   private final PeerBoard peers;
   private final BatchCoordinator local;
   private final EventLoop loop;
@@ -45,13 +44,13 @@
 
   MeshStageWorkClient(
       String self,
-      PeerNetwork network,
+      MeshLinks links,
       PeerBoard peers,
       BatchCoordinator local,
       EventLoop loop,
       PiecesToCome toCome) {
     this.self = self;
-    this.network = network;
+    this.links = links;
     this.peers = peers;
     this.local = local;
     this.loop = loop;
@@ -87,7 +86,7 @@
     }
     Placement placement = new Placement(group, listener);
     placed.put(placement, box);
-    network
+    links
         .ask(
             box,
             MeshMessages.STAGE_WORK,
@@ -186,7 +185,7 @@
         .forEach(
             entry -> {
               placed.remove(entry.getKey());
-              network.tell(
+              links.tell(
                   entry.getValue(), MeshMessages.STAGE_CANCEL, new StageCancel(service, requestId));
             });
   }
@@ -204,7 +203,7 @@
     if (box.equals(self) || !peers.isAlive(box)) {
       local.free(handles);
     } else {
-      network.tell(box, MeshMessages.STAGE_FREE, new StageFree(handles));
+      links.tell(box, MeshMessages.STAGE_FREE, new StageFree(handles));
     }
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/StageWorkHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/StageWorkHandler.java
@@ -5,7 +5,6 @@
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkListener;
-import org.gradeledge.peer.PeerNetwork;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -13,11 +12,11 @@
 final class StageWorkHandler {
 
   private final BatchCoordinator coordinator;
-  private final PeerNetwork network;
+  private final MeshLinks links;
 
-  StageWorkHandler(BatchCoordinator coordinator, PeerNetwork network) {
+  StageWorkHandler(BatchCoordinator coordinator, MeshLinks links) {
     this.coordinator = coordinator;
-    this.network = network;
+    this.links = links;
   }
 
   /** Starts the work; if nobody waits for it any more it is cancelled, and its results given up. */
@@ -60,7 +59,7 @@
 
     @Override
     public void inputsTaken() {
-      network.tell(
+      links.tell(
           box,
           MeshMessages.STAGE_INPUTS_TAKEN,
           new StageInputsTaken(group.requestId(), group.stage()));
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerConnection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import org.gradeledge.time.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import org.tinylog.Logger;
@@ -31,6 +32,11 @@
   private static final int HANDLED_AT_A_TIME = 4096;
   private static final int QUEUED_FRAMES = 1024;
 
+  /** Questions count from 1, so the answer to a probe is nobody else's. */
+  private static final long PROBE_CORRELATION = -1;
+
+  private static final byte[] NOTHING = {};
+
   private final PeerContext context;
   private final boolean dialed;
   private final Connection connection;
@@ -41,6 +47,8 @@
   private final AtomicLong correlations = new AtomicLong();
   private volatile @Nullable PeerHello otherHello;
   private final Disposable.Composite handling = Disposables.composite();
+  private final Sinks.Empty<Void> ended = Sinks.empty();
+  private final PeerProbe probe;
   private volatile boolean open;
 
   PeerConnection(PeerContext context, boolean dialed, Connection connection) {
@@ -48,6 +56,9 @@
     this.dialed = dialed;
     this.connection = connection;
     this.ownHello = context.newHello();
+    this.probe =
+        new PeerProbe(
+            context.scheduler(), MonotonicClock.system(), this::sendProbe, this::closeSilent);
   }
 
   /** Greets, then handles frames until either side closes. */
@@ -63,7 +74,7 @@
             .concatMap(frame -> receive(frame.getT1(), frame.getT2()))
             .then();
     Mono<Void> greetingLimit =
-        Mono.delay(GREETING_LIMIT)
+        Mono.delay(GREETING_LIMIT, context.scheduler())
             .flatMap(tick -> open ? Mono.<Void>never() : Mono.error(refused("greeting too slow")));
     return Mono.firstWithSignal(sending, receiving, greetingLimit)
         .doOnError(e -> Logger.debug(e, "peer connection ended"))
@@ -75,6 +86,11 @@
     return open;
   }
 
+  /** Returns what completes once the connection has been closed. */
+  Mono<Void> ended() {
+    return ended.asMono();
+  }
+
   boolean dialedBySmaller() {
     String other = identity().boxId();
     return dialed == (ownHello.boxId().compareTo(other) < 0);
@@ -89,6 +105,7 @@
 
   void tell(String type, byte[] body) {
     enqueue(new PeerFrame(type, 0, false, body));
+    probe.sent();
   }
 
   Mono<byte[]> ask(String type, byte[] body, Duration limit) {
@@ -98,7 +115,11 @@
           Sinks.One<byte[]> answer = Sinks.one();
           awaited.put(correlation, answer);
           enqueue(new PeerFrame(type, correlation, false, body));
-          return answer.asMono().timeout(limit).doFinally(signal -> awaited.remove(correlation));
+          probe.sent();
+          return answer
+              .asMono()
+              .timeout(limit, context.scheduler())
+              .doFinally(signal -> awaited.remove(correlation));
         });
   }
 
@@ -109,9 +130,11 @@
     awaited.values().forEach(sink -> sink.tryEmitError(refused("connection closed")));
     connection.dispose();
     handling.dispose();
+    probe.dispose();
     if (wasOpen) {
       context.closed(this);
     }
+    ended.tryEmitEmpty();
   }
 
   private Mono<Void> receive(long index, byte[] bytes) {
@@ -123,9 +146,21 @@
       return checkProof(frame);
     }
     count(frame.type(), "in", bytes.length);
+    probe.received();
     return frame.answer() ? completeAwaited(frame) : startHandling(frame);
   }
 
+  private void sendProbe() {
+    byte[] body = context.codec().encode(NOTHING);
+    enqueue(new PeerFrame(PeerProbe.MESSAGE.name(), PROBE_CORRELATION, false, body));
+  }
+
+  private void closeSilent() {
+    context.metrics().stateChange("peer-silent");
+    Logger.info("peer silent, connection closed: box={}", identity().boxId());
+    close();
+  }
+
   private Mono<Void> greet(PeerFrame frame) {
     PeerHello hello = context.codec().decode(expect(HELLO, frame).body(), PeerHello.class);
     if (hello.protocolVersion() != PeerHello.PROTOCOL_VERSION) {
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerContext.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerContext.java
@@ -1,6 +1,7 @@
 package org.gradeledge.peer;
 
 import org.gradeledge.metrics.BoxMetrics;
+import reactor.core.scheduler.Scheduler;
 
 /** What a connection needs of the network that it belongs to. */
 interface PeerContext {
@@ -13,6 +14,9 @@
 
   BoxMetrics metrics();
 
+  /** Returns where time-outs run. */
+  Scheduler scheduler();
+
   /** Returns a new greeting of this box. */
   PeerHello newHello();
 
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerException.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerException.java
@@ -14,4 +14,9 @@
   public PeerException(String message, @Nullable Throwable cause) {
     super(message, cause);
   }
+
+  /** Returns the failure of what needs a connection to a peer where there is none. */
+  static PeerException notConnected(String boxId) {
+    return new PeerException(boxId + " is not connected", null);
+  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
@@ -10,13 +10,13 @@
 import java.util.stream.Collectors;
 import org.gradeledge.metrics.BoxMetrics;
 import org.tinylog.Logger;
-import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
-import reactor.util.retry.Retry;
 
 /**
- * All connections of a box to its peers: one connection a pair, one task a peer that keeps it up.
+ * All connections of a box to its peers: one connection a pair at most. With whom it is connected
+ * is the user's choice: a set of peers that are always kept up, others on demand.
  *
  * <p>Either side may dial; where both have, the connection dialed by the box with the smaller name
  * is kept. Thread-safe.
@@ -25,10 +25,6 @@
  */
 public final class PeerNetwork implements PeerContext {
 
-  private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
-  private static final Duration LONGEST_BACKOFF = Duration.ofMillis(400);
-  private static final double JITTER = 0.5;
-
   private final String boxId;
   private final PeerSecret secret;
   private final PeerTransport transport;
@@ -36,7 +32,7 @@
   private final PeerCodec codec = new PeerCodec();
   private final PeerHandlers handlers = new PeerHandlers(codec);
   private final Map<String, PeerConnection> open = new ConcurrentHashMap<>();
-  private final Map<PeerAddress, Disposable> tasks = new ConcurrentHashMap<>();
+  private final PeerDialers dialers;
   private volatile long incarnation;
 
   /** Creates the network of a box; it neither listens nor dials yet. */
@@ -45,6 +41,12 @@
     this.secret = secret;
     this.transport = transport;
     this.metrics = metrics;
+    this.dialers =
+        new PeerDialers(
+            this::openTo,
+            peer -> transport.dial(peer.socketAddress(), this),
+            transport.scheduler());
+    handlers.register(PeerProbe.MESSAGE, (from, probe) -> Mono.just(probe));
   }
 
   /** Handles messages of a type from now on. */
@@ -63,16 +65,31 @@
     open.values().forEach(PeerConnection::close);
   }
 
-  /** Sets which peers to be connected with; tasks of others end. */
-  public synchronized void setPeers(Collection<PeerAddress> peers) {
-    Set<PeerAddress> wanted = Set.copyOf(peers);
-    tasks.keySet().stream()
-        .filter(address -> !wanted.contains(address))
-        .toList()
-        .forEach(this::stopTask);
-    wanted.stream()
-        .filter(address -> !tasks.containsKey(address))
-        .forEach(address -> tasks.put(address, startTask(address)));
+  /** Sets which peers to be connected with; connections with all others are closed. */
+  public void setPeers(Collection<PeerAddress> peers) {
+    dialers.keepUp(peers).forEach(this::close);
+  }
+
+  /**
+   * Sets which peers to keep up connections with. Unlike {@link #setPeers}, a connection that the
+   * other side has dialed stays open, as the other side may still want it.
+   */
+  public void keepUp(Collection<PeerAddress> peers) {
+    dialers.keepUp(peers);
+  }
+
+  /**
+   * Returns what completes once a peer is connected, and dials it if nobody has. It fails with
+   * {@link PeerException} at once where the last dial came to nothing, and where the connection is
+   * not there within the limit.
+   */
+  public Mono<Void> connect(PeerAddress peer, Duration limit) {
+    return dialers.connect(peer, limit);
+  }
+
+  /** Returns whether the last dial of a peer came to nothing; it is dialed again meanwhile. */
+  public boolean isUnreachable(PeerAddress peer) {
+    return dialers.isUnreachable(peer);
   }
 
   /** Returns the peers whose connections are up. */
@@ -120,7 +137,7 @@
             () -> {
               PeerConnection connection = open.get(peerId);
               return connection == null
-                  ? Mono.<byte[]>error(new PeerException(peerId + " is not connected", null))
+                  ? Mono.<byte[]>error(PeerException.notConnected(peerId))
                   : connection.ask(type.name(), codec.encode(message), limit);
             })
         .map(body -> codec.decode(body, answerType))
@@ -137,37 +154,19 @@
     }
   }
 
-  /** Closes all connections and ends all tasks. */
-  public synchronized void close() {
-    tasks.keySet().stream().toList().forEach(this::stopTask);
+  /** Closes all connections and dials no more. */
+  public void close() {
+    dialers.stop();
     open.values().forEach(PeerConnection::close);
   }
 
-  private Disposable startTask(PeerAddress peer) {
-    return Mono.defer(() -> dialUnlessOpen(peer))
-        .then(Mono.error(() -> new PeerException(peer.boxId() + " is not connected", null)))
-        .retryWhen(
-            Retry.backoff(Long.MAX_VALUE, FIRST_BACKOFF)
-                .maxBackoff(LONGEST_BACKOFF)
-                .jitter(JITTER)
-                .transientErrors(true))
-        .subscribe(ignored -> {}, e -> Logger.error(e, "task of peer {} ended", peer.boxId()));
-  }
-
-  private Mono<Void> dialUnlessOpen(PeerAddress peer) {
-    PeerConnection connection = open.get(peer.boxId());
-    boolean current =
-        connection != null
-            && connection.isOpen()
-            && connection.identity().incarnation() >= peer.incarnation();
-    return current ? Mono.empty() : transport.dial(peer.socketAddress(), this);
+  private Optional<PeerConnection> openTo(PeerAddress peer) {
+    return Optional.ofNullable(open.get(peer.boxId()))
+        .filter(PeerConnection::isOpen)
+        .filter(connection -> connection.identity().incarnation() >= peer.incarnation());
   }
 
-  private void stopTask(PeerAddress address) {
-    Disposable task = tasks.remove(address);
-    if (task != null) {
-      task.dispose();
-    }
+  private void close(PeerAddress address) {
     PeerConnection connection = open.get(address.boxId());
     if (connection != null && connection.identity().incarnation() <= address.incarnation()) {
       connection.close();
@@ -182,6 +181,7 @@
       return false;
     }
     open.put(identity.boxId(), connection);
+    dialers.opened(identity.boxId());
     if (existing != null) {
       existing.close();
     }
@@ -226,6 +226,11 @@
     return handlers;
   }
 
+  @Override
+  public Scheduler scheduler() {
+    return transport.scheduler();
+  }
+
   @Override
   public BoxMetrics metrics() {
     return metrics;
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.resources.LoopResources;
@@ -27,6 +29,7 @@
   private final Optional<SslContext> serverTls;
   private final Optional<SslContext> clientTls;
   private final Optional<LoopResources> loops;
+  private final Scheduler scheduler;
 
   /** Creates the transport; plain TCP where the contexts are absent. */
   public PeerTransport(Optional<SslContext> serverTls, Optional<SslContext> clientTls) {
@@ -41,6 +44,18 @@
     this.serverTls = serverTls;
     this.clientTls = clientTls;
     this.loops = loops;
+    this.scheduler =
+        loops
+            .map(each -> Schedulers.fromExecutorService(each.onClient(false).next()))
+            .orElseGet(Schedulers::parallel);
+  }
+
+  /**
+   * Returns where time-outs of connections run: on the event loop that is given, so that no second
+   * thread is woken for them.
+   */
+  Scheduler scheduler() {
+    return scheduler;
   }
 
   Mono<? extends DisposableServer> listen(InetSocketAddress address, PeerContext context) {
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/HeartbeatRoutesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/HeartbeatRoutesTests.java
@@ -18,6 +18,7 @@
   private final Map<String, PeerBoard> boards = new HashMap<>();
   private final Map<String, HeartbeatRoutes> routes = new HashMap<>();
   private final Set<String> connected = new HashSet<>();
+  private final Set<String> unreachable = new HashSet<>();
 
   @Test
   void fewBoxesTellAll() {
@@ -58,6 +59,28 @@
     assertThat(routes.get("box-0").ownRelays()).doesNotContain(lost).isNotEmpty();
   }
 
+  @Test
+  void connectionsAreKeptUpWithTheRelaysAndASpareOfEachZone() {
+    start(90);
+    HeartbeatRoutes relay =
+        routes.values().stream().filter(HeartbeatRoutes::isRelay).findFirst().orElseThrow();
+
+    assertThat(routes.get("box-0").ownCandidates())
+        .hasSizeBetween(2, 3)
+        .containsAll(routes.get("box-0").ownRelays());
+    assertThat(relay.foreignCandidates()).hasSize(6).containsAll(relay.foreignRelays());
+  }
+
+  @Test
+  void aBoxThatCannotBeReachedIsNoCandidate() {
+    start(30);
+    String away = routes.get("box-0").ownCandidates().get(0);
+
+    unreachable.add(away);
+
+    assertThat(routes.get("box-0").ownCandidates()).doesNotContain(away).hasSizeBetween(2, 3);
+  }
+
   @Test
   void aDutyIsHeldByAsManyBoxesAsAreAsked() {
     start(30);
@@ -77,7 +100,9 @@
           .filter(other -> !other.equals(box))
           .forEach(other -> board.heard(other, zoneOf(other), false, 0));
       boards.put(box, board);
-      routes.put(box, new HeartbeatRoutes(box, zoneOf(box), board, () -> connected));
+      routes.put(
+          box,
+          new HeartbeatRoutes(box, zoneOf(box), board, () -> connected, unreachable::contains));
     }
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import reactor.netty.DisposableServer;
 import reactor.netty.resources.LoopResources;
 
 /** So many boxes that heartbeats are relayed, over real connections in one process. */
@@ -31,12 +32,17 @@
 class ManyBoxesTests {
 
   private static final int BOXES = 18;
+
+  /** Ends of connections where heartbeats are relayed; all with all would be about twice that. */
+  private static final int MOST_ENDS = BOXES * BOXES / 2;
+
   private static final Duration LIMIT = Duration.ofSeconds(20);
 
   private final LoopResources loops = LoopResources.create("mesh", 1, 1, true, false);
   private final EventLoop loop = loops.onClient(false).next();
   private final List<BoxMesh> meshes = new ArrayList<>();
   private final List<PeerNetwork> networks = new ArrayList<>();
+  private final List<DisposableServer> servers = new ArrayList<>();
   private final List<String> addresses = new ArrayList<>();
 
   @AfterEach
@@ -70,24 +76,60 @@
     await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES + 1));
   }
 
+  @Test
+  void connectionsAreThoseThatHeartbeatsNeed() throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      startBox();
+    }
+    await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES));
+
+    await(() -> networks.stream().mapToInt(each -> each.connectedIds().size()).sum() < MOST_ENDS);
+
+    assertThat(onLoop(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES))).isTrue();
+  }
+
+  @Test
+  void aBoxWhoseSeedsAreAllGoneIsMetByThoseThatKnewIt() throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      startBox();
+    }
+    await(() -> meshes.stream().allMatch(BoxMesh::hearsDigests));
+    String gone = addresses.get(BOXES - 1);
+    stopBox(BOXES - 1);
+    await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES - 1));
+
+    startBox(gone, List.of());
+
+    await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES));
+  }
+
+  private void stopBox(int index) {
+    networks.remove(index).close();
+    servers.remove(index).disposeNow();
+    meshes.remove(index);
+    addresses.remove(index);
+  }
+
   private void startBox() throws IOException {
-    InetSocketAddress listen = new InetSocketAddress("127.0.0.1", freePort());
-    String self = "127.0.0.1:" + listen.getPort();
+    startBox("127.0.0.1:" + freePort(), addresses.isEmpty() ? List.of() : addresses.subList(0, 1));
+  }
+
+  private void startBox(String self, List<String> seeds) {
+    int port = Integer.parseInt(self.substring(self.indexOf(':') + 1));
     PeerNetwork network =
         new PeerNetwork(
             self,
             new PeerSecret("a secret of sixteen bytes"),
             new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops)),
             new BoxMetrics());
-    BoxMesh mesh = newMesh(self, network);
+    BoxMesh mesh = newMesh(self, seeds, network);
     networks.add(network);
     meshes.add(mesh);
     addresses.add(self);
-    mesh.start(listen).block(LIMIT);
+    servers.add(mesh.start(new InetSocketAddress("127.0.0.1", port)).block(LIMIT));
   }
 
-  private BoxMesh newMesh(String self, PeerNetwork network) {
-    List<String> seeds = addresses.isEmpty() ? List.of() : List.of(addresses.get(0));
+  private BoxMesh newMesh(String self, List<String> seeds, PeerNetwork network) {
     MonotonicClock clock = MonotonicClock.system();
     return new BoxMesh(
         self,
