--- a/gradeledge-core/src/main/java/org/gradeledge/metrics/BoxMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/metrics/BoxMetrics.java
@@ -30,6 +30,7 @@
           .name("gradeledge_requests_total")
           .help("Requests answered, by verdict and reason")
           .labelNames("pipeline", "account", "verdict", "reason")
+          .withoutExemplars()
           .register(registry);
 
   private final Histogram requestSeconds =
@@ -37,6 +38,7 @@
           .name("gradeledge_request_seconds")
           .help("Time from receipt to answer")
           .labelNames("pipeline")
+          .withoutExemplars()
           .register(registry);
 
   private final CostLedger costs = new CostLedger(registry);
@@ -46,6 +48,7 @@
           .name("gradeledge_dropped_answers_total")
           .help("Upstream answers that belonged to another call")
           .labelNames("upstream")
+          .withoutExemplars()
           .register(registry);
 
   private final Counter peerMessages =
@@ -53,6 +56,7 @@
           .name("gradeledge_peer_messages_total")
           .help("Messages between boxes")
           .labelNames("type", "direction")
+          .withoutExemplars()
           .register(registry);
 
   private final Counter peerBytes =
@@ -60,6 +64,7 @@
           .name("gradeledge_peer_bytes_total")
           .help("Bytes between boxes, frames whole")
           .labelNames("type", "direction")
+          .withoutExemplars()
           .register(registry);
 
   private final Counter platformCalls =
@@ -67,6 +72,7 @@
           .name("gradeledge_platform_calls_total")
           .help("Calls to the platform")
           .labelNames("call", "result")
+          .withoutExemplars()
           .register(registry);
 
   private final Counter changes =
@@ -74,6 +80,7 @@
           .name("gradeledge_changes_total")
           .help("Changes of configuration submitted here, by verdict")
           .labelNames("pipeline", "verdict")
+          .withoutExemplars()
           .register(registry);
 
   private final Gauge versionInForce =
@@ -88,6 +95,7 @@
           .name("gradeledge_state_changes_total")
           .help("Changes of state that were also logged")
           .labelNames("change")
+          .withoutExemplars()
           .register(registry);
 
   /** Counts an answered request. */
--- a/gradeledge-core/src/main/java/org/gradeledge/metrics/CostLedger.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/metrics/CostLedger.java
@@ -95,6 +95,7 @@
         .name(name)
         .help(help)
         .labelNames(KEY_LABELS[0], KEY_LABELS[1], KEY_LABELS[2], lastLabel)
+        .withoutExemplars()
         .register(registry);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -130,7 +130,7 @@
 
   private void watch(Attempt watched) {
     if (route.repeatability().repeatable()) {
-      watch = new AttemptWatch(services, route, clock, watched, () -> giveUpSilent(watched));
+      watch = AttemptWatch.of(services, route, clock, watched, () -> giveUpSilent(watched));
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -24,6 +24,7 @@
           .name("gradeledge_relay_requests_total")
           .help("Relayed requests that ended, by kind and outcome")
           .labelNames("kind", "outcome")
+          .withoutExemplars()
           .register(registry);
 
   private final Histogram seconds =
@@ -32,6 +33,7 @@
           .help("Time from receipt to the end of the answer")
           .labelNames("kind")
           .classicOnly()
+          .withoutExemplars()
           .register(registry);
 
   private final Histogram stageSeconds =
@@ -40,6 +42,7 @@
           .help("Time until the stage work of a request was done")
           .labelNames("kind")
           .classicOnly()
+          .withoutExemplars()
           .register(registry);
 
   private final Counter attempts =
@@ -47,6 +50,7 @@
           .name("gradeledge_relay_attempts_total")
           .help("Requests sent to upstreams, by what came of them")
           .labelNames("result")
+          .withoutExemplars()
           .register(registry);
 
   /** Counts a request that ended. */
