Groups that other boxes work on are found by their request; a measure of what a box costs

Cause: each word that inputs were fetched, and each cancel, copied and scanned all groups that other boxes had, keyed by records whose hash runs over their inputs.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -15,6 +15,7 @@
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.batch.StageWorkListener;
+import org.gradeledge.mesh.PlacedGroups.PlacedGroup;
 import org.gradeledge.selection.RendezvousHash;
 
 /**
@@ -33,15 +34,12 @@
   private final BatchCoordinator local;
   private final EventLoop loop;
   private final PiecesToCome toCome;
-  private final Map<Placement, String> placed = new HashMap<>();
+  private final PlacedGroups placed = new PlacedGroups();
   private final Map<String, String> makers = new HashMap<>();
   private final Map<String, Map<String, List<Long>>> toldBacklogs = new HashMap<>();
   private final Map<String, String> coordinators = new HashMap<>();
   private Set<String> coordinatorsAmong = Set.of();
 
-  /** A group that another box works on. */
-  private record Placement(StageGroup group, StageWorkListener listener) {}
-
   MeshStageWorkClient(
       String self,
       MeshLinks links,
@@ -67,13 +65,12 @@
       place(group, listener);
       return;
     }
-    Placement placement = new Placement(group, listener);
-    placed.put(placement, NO_BOX_YET);
+    PlacedGroup placement = placed.add(group, listener, NO_BOX_YET);
     loop.schedule(() -> submitAgain(placement), LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void submitAgain(Placement placement) {
-    if (placed.remove(placement) != null) {
+  private void submitAgain(PlacedGroup placement) {
+    if (placed.remove(placement)) {
       submit(placement.group(), placement.listener());
     }
   }
@@ -84,8 +81,7 @@
       local.submit(group, listener);
       return;
     }
-    Placement placement = new Placement(group, listener);
-    placed.put(placement, box);
+    PlacedGroup placement = placed.add(group, listener, box);
     links
         .ask(
             box,
@@ -112,8 +108,8 @@
     return boxes.stream().min(RendezvousHash.byRank(service)).orElse(self);
   }
 
-  private void answered(Placement placement, StageGroupResult result) {
-    if (placed.remove(placement) == null) {
+  private void answered(PlacedGroup placement, StageGroupResult result) {
+    if (!placed.remove(placement)) {
       local.free(result.handles());
       return;
     }
@@ -121,18 +117,16 @@
     placement.listener().ended(result);
   }
 
-  private void takeOver(Placement placement) {
-    if (placed.remove(placement) != null) {
+  private void takeOver(PlacedGroup placement) {
+    if (placed.remove(placement)) {
       local.submit(placement.group(), placement.listener());
     }
   }
 
   /** Hears from a box that works on a group that its inputs have been fetched. */
   void inputsTaken(String box, StageInputsTaken message) {
-    Set.copyOf(placed.entrySet()).stream()
-        .filter(entry -> entry.getValue().equals(box))
-        .map(entry -> entry.getKey())
-        .filter(placement -> placement.group().requestId().equals(message.requestId()))
+    placed.ofRequest(message.requestId()).stream()
+        .filter(placement -> placement.box().equals(box))
         .filter(placement -> placement.group().stage() == message.stage())
         .forEach(placement -> placement.listener().inputsTaken());
   }
@@ -140,9 +134,7 @@
   /** Does the work itself that a box had which is not heard any more. */
   void lost(String box) {
     toldBacklogs.remove(box);
-    Set.copyOf(placed.entrySet()).stream()
-        .filter(entry -> entry.getValue().equals(box))
-        .forEach(entry -> takeOver(entry.getKey()));
+    placed.ofBox(box).forEach(this::takeOver);
   }
 
   @Override
@@ -179,15 +171,16 @@
   @Override
   public void cancel(String service, String requestId) {
     local.cancel(service, requestId);
-    Set.copyOf(placed.entrySet()).stream()
-        .filter(entry -> entry.getKey().group().requestId().equals(requestId))
-        .filter(entry -> entry.getKey().group().service().equals(service))
-        .forEach(
-            entry -> {
-              placed.remove(entry.getKey());
-              links.tell(
-                  entry.getValue(), MeshMessages.STAGE_CANCEL, new StageCancel(service, requestId));
-            });
+    placed.ofRequest(requestId).stream()
+        .filter(placement -> placement.group().service().equals(service))
+        .forEach(placement -> cancel(placement, new StageCancel(service, requestId)));
+  }
+
+  private void cancel(PlacedGroup placement, StageCancel message) {
+    placed.remove(placement);
+    if (!placement.box().equals(NO_BOX_YET)) {
+      links.tell(placement.box(), MeshMessages.STAGE_CANCEL, message);
+    }
   }
 
   @Override
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PlacedGroups.java
@@ -0,0 +1,78 @@
+package org.gradeledge.mesh;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.gradeledge.batch.StageGroup;
+import org.gradeledge.batch.StageWorkListener;
+
+/**
+ * The groups that other boxes work on for this one, found by their request without a look at all
+ * others. Confined to the event loop.
+ */
+final class PlacedGroups {
+
+  private final Map<String, List<PlacedGroup>> byRequest = new HashMap<>();
+
+  /** A group and the box that has it; two with the same content are still two. */
+  static final class PlacedGroup {
+
+    private final StageGroup group;
+    private final StageWorkListener listener;
+    private final String box;
+
+    private PlacedGroup(StageGroup group, StageWorkListener listener, String box) {
+      this.group = group;
+      this.listener = listener;
+      this.box = box;
+    }
+
+    StageGroup group() {
+      return group;
+    }
+
+    StageWorkListener listener() {
+      return listener;
+    }
+
+    String box() {
+      return box;
+    }
+  }
+
+  /** Adds a group that a box has. */
+  PlacedGroup add(StageGroup group, StageWorkListener listener, String box) {
+    PlacedGroup placed = new PlacedGroup(group, listener, box);
+    byRequest.computeIfAbsent(group.requestId(), id -> new ArrayList<>(2)).add(placed);
+    return placed;
+  }
+
+  /** Takes a group out; returns whether it was still there. */
+  boolean remove(PlacedGroup placed) {
+    String request = placed.group().requestId();
+    List<PlacedGroup> ofRequest = byRequest.get(request);
+    if (ofRequest == null || !ofRequest.remove(placed)) {
+      return false;
+    }
+    if (ofRequest.isEmpty()) {
+      byRequest.remove(request);
+    }
+    return true;
+  }
+
+  /** Returns the groups of a request, as they are now. */
+  List<PlacedGroup> ofRequest(String requestId) {
+    return List.copyOf(byRequest.getOrDefault(requestId, List.of()));
+  }
+
+  /** Returns the groups that a box has, as they are now. */
+  List<PlacedGroup> ofBox(String box) {
+    return all().filter(placed -> placed.box().equals(box)).toList();
+  }
+
+  private Stream<PlacedGroup> all() {
+    return byRequest.values().stream().flatMap(List::stream);
+  }
+}
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCommand.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCommand.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -45,6 +46,12 @@
       description = "Requests to each box (${DEFAULT-VALUE}).")
   private int requestCount;
 
+  @Option(
+      names = "--hold",
+      defaultValue = "0",
+      description = "Seconds to go on for once all requests have ended (${DEFAULT-VALUE}).")
+  private int holdSeconds;
+
   /** Returns 0 if every request was served. */
   @Override
   public Integer call() throws IOException, InterruptedException, ExecutionException {
@@ -56,12 +63,13 @@
       out.printf("{\"boxes\":%d,\"store\":\"%s\"}%n", boxCount, store.address());
       out.flush();
       List<Integer> statuses = callAll(callers);
-      for (FleetEngine engine : engines) {
-        engine.close();
-      }
       long served = statuses.stream().filter(status -> status == SERVED).count();
       out.printf("%d of %d requests served by %d boxes%n", served, statuses.size(), boxCount);
       out.flush();
+      TimeUnit.SECONDS.sleep(holdSeconds);
+      for (FleetEngine engine : engines) {
+        engine.close();
+      }
       return served == statuses.size() ? 0 : 1;
     }
   }
