--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -75,6 +75,11 @@
     }
   }
 
+  @Override
+  public void distrust(UpstreamRecord target) {
+    forget(target);
+  }
+
   private void connect(
       UpstreamRecord target, UpstreamConnections connections, CallInProgress call) {
     UpstreamConnection connection = new UpstreamConnection(connections);
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
@@ -7,9 +7,15 @@
  *
  * @since 0.2
  */
-@FunctionalInterface
 public interface UpstreamCaller {
 
   /** Sends a request; the listener is never called before this returns. */
   UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener);
+
+  /**
+   * Uses no connection again that is open now to an upstream, as one of them went silent: what
+   * makes one go silent without a reset does so to all of that age. New ones are opened beside
+   * them.
+   */
+  void distrust(UpstreamRecord target);
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -65,6 +65,16 @@
     assertThat(connections).hasSize(1);
   }
 
+  @Test
+  void connectionsThatWereOpenWhenOneWentSilentAreNotUsedAgain() throws Exception {
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+
+    loop.submit(() -> caller.distrust(upstream())).get();
+
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+    assertThat(connections).hasSize(2);
+  }
+
   @Test
   void callsThatWantConnectionsOfTheirOwnDoNotUseUpTheLimit() throws Exception {
     for (int i = 0; i < 5 * LIMIT; i++) {
@@ -102,9 +112,11 @@
     return outcomes.poll(20, TimeUnit.SECONDS);
   }
 
+  private UpstreamRecord upstream() {
+    return new UpstreamRecord("id", "service", "127.0.0.1", server.port(), "zone", 1, false);
+  }
+
   private void start(String uri, ConnectionReuse reuse) throws InterruptedException {
-    UpstreamRecord target =
-        new UpstreamRecord("id", "service", "127.0.0.1", server.port(), "zone", 1, false);
     OutgoingRequest request =
         new OutgoingRequest(
             HttpMethod.GET,
@@ -113,7 +125,7 @@
             new byte[0],
             Optional.empty(),
             reuse);
-    loop.submit(() -> caller.call(target, request, new Recorder())).sync();
+    loop.submit(() -> caller.call(upstream(), request, new Recorder())).sync();
   }
 
   private final class Recorder implements CallListener {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -7,6 +7,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.LockSupport;
 
@@ -23,6 +25,8 @@
     CUT_FORTH,
     /** What the target sends is lost, though the connection stays. */
     CUT_BACK,
+    /** Connections that are open say nothing any more, for good; new ones work. */
+    OPEN_GO_SILENT,
     /** Connections are reset, new ones too. */
     RESET
   }
@@ -33,6 +37,7 @@
   private final InetSocketAddress target;
   private final ServerSocket listener;
   private final List<Socket> open = new CopyOnWriteArrayList<>();
+  private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
   private volatile Fault fault = Fault.NONE;
 
   FaultyLink(String targetAddress) throws IOException {
@@ -54,6 +59,9 @@
     if (next == Fault.RESET) {
       open.forEach(FaultyLink::reset);
     }
+    if (next == Fault.OPEN_GO_SILENT) {
+      silent.addAll(open);
+    }
   }
 
   private void accept() {
@@ -105,7 +113,7 @@
       if (fault == Fault.DELAY) {
         LockSupport.parkNanos(DELAY_NANOS);
       }
-      if (fault != loses) {
+      if (fault != loses && !silent.contains(from)) {
         to.getOutputStream().write(buffer, 0, count);
       }
     }
