A box that starts among many waits to be introduced instead of dialing all it knows

Cause: a box that has just started learns a dozen names within a moment and dialed each of them, each greeted with two proofs; most of these connections were given up 10 s later.

Change: while a box knows more than 12 others and hears fewer, it keeps up connections with its seeds and those that it hears only.

Tests: of peer and mesh passed; the others not run on this commit.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -190,18 +190,25 @@
     loop.schedule(this::beat, sender.intervalMillis(), TimeUnit.MILLISECONDS);
   }
 
-  /** Few boxes are all connected; among many each keeps up those that it needs. */
+  /**
+   * Few boxes are all connected; among many each keeps up those that it needs. A box that has just
+   * started among many knows more than it hears: it waits to be introduced by those that it hears,
+   * as connections with all that it knows would be most of what its start costs.
+   */
   private void connect() {
-    if (!routes.many()) {
-      links.use(known);
-      links.keepUp(seeds);
-      return;
+    if (routes.many()) {
+      links.use(sender.neighbours());
+    } else {
+      links.use(HeartbeatRoutes.areMany(known.size()) ? othersHeard() : known);
     }
-    links.use(sender.neighbours());
     links.keepUp(sender.hearsDigests() ? List.of() : seeds);
     lost.next().ifPresent(sender::meet);
   }
 
+  private List<String> othersHeard() {
+    return peers.alive().stream().filter(box -> !box.equals(self)).toList();
+  }
+
   private Heartbeat own() {
     return new Heartbeat(
         zone,
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
@@ -51,7 +51,12 @@
 
   /** Returns whether there are so many boxes that heartbeats are relayed. */
   boolean many() {
-    return peers.alive().size() > MOST_THAT_TELL_ALL;
+    return areMany(peers.alive().size());
+  }
+
+  /** Returns whether heartbeats are relayed among so many boxes. */
+  static boolean areMany(int boxes) {
+    return boxes > MOST_THAT_TELL_ALL;
   }
 
   /** Returns the relays of the own zone, without this box. */
