Boxes that can bear more come first as makers of stage calls and as relays

Cause: who makes the calls of a service and who relays was chosen by rendezvous hashing alone. Where 6 of 61 boxes have 1.5 cores and 200 Mbit/s and the others 0.36 cores and 10 Mbit/s, a weak box made the calls of a service (hundreds of groups a second) nine times in ten.

Tests: PeerBoardTests (3 new), of mesh, peer and platform passed.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -43,6 +43,7 @@
 
   private final String self;
   private final String zone;
+  private final int strength;
   private final PeerNetwork network;
   private final EventLoop loop;
   private final DeploymentRegistry deployments;
@@ -70,11 +71,13 @@
    *
    * @param self address of this box
    * @param zone its availability zone
+   * @param strength how much work for others it can bear, compared with that of other boxes
    * @param seeds addresses of some boxes, which may be stale
    */
   public BoxMesh(
       String self,
       String zone,
+      int strength,
       Collection<String> seeds,
       PeerNetwork network,
       EventLoop loop,
@@ -86,6 +89,7 @@
       EventLog events) {
     this.self = self;
     this.zone = zone;
+    this.strength = strength;
     this.network = network;
     this.loop = loop;
     this.deployments = deployments;
@@ -93,7 +97,7 @@
     this.board = board;
     this.toCome = toCome;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
-    this.peers = new PeerBoard(self, zone, clock, events);
+    this.peers = new PeerBoard(self, zone, strength, clock, events);
     this.relay = new HeartbeatRelay(self, clock);
     this.links = new MeshLinks(network, clock);
     this.routes =
@@ -214,6 +218,7 @@
         zone,
         leaving,
         false,
+        strength,
         deployments.revision(),
         upstreams.changedAt(),
         List.of(),
@@ -236,7 +241,7 @@
   }
 
   private void heard(String box, Heartbeat beat, long ageMillis) {
-    peers.heard(box, beat.zone(), beat.leaving(), ageMillis);
+    peers.heard(box, beat.zone(), beat.leaving(), beat.strength(), ageMillis);
     board.setPeerShares(box, beat.shares());
     onBacklogs.accept(box, beat.backlogMillis());
     toCome.told(box, beat.piecesToCome());
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -11,6 +11,7 @@
  * @param zone its availability zone
  * @param leaving whether it is stopping
  * @param relayAsked whether the box that hears it directly is asked to pass it on
+ * @param strength how much work for others it can bear; see RelaySettings
  * @param configuration revision of the configuration that it has in force
  * @param upstreams revision at which its list of upstreams last said something new
  * @param boxes addresses of the boxes that it hears; left out where heartbeats are relayed
@@ -24,6 +25,7 @@
     String zone,
     boolean leaving,
     boolean relayAsked,
+    int strength,
     long configuration,
     long upstreams,
     List<String> boxes,
@@ -42,6 +44,7 @@
         zone,
         leaving,
         relayAsked,
+        strength,
         configuration,
         upstreams,
         heard,
@@ -53,6 +56,15 @@
   /** Returns the same, to be passed on. */
   Heartbeat askingToRelay() {
     return new Heartbeat(
-        zone, leaving, true, configuration, upstreams, boxes, shares, backlogMillis, piecesToCome);
+        zone,
+        leaving,
+        true,
+        strength,
+        configuration,
+        upstreams,
+        boxes,
+        shares,
+        backlogMillis,
+        piecesToCome);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
@@ -107,7 +107,7 @@
     return peers.working().stream()
         .filter(box -> box.equals(self) || usable.test(box))
         .filter(box -> peers.zoneOf(box).filter(ofZone::equals).isPresent())
-        .sorted(RendezvousHash.byRank("relay"))
+        .sorted(peers.byRank("relay"))
         .limit(count)
         .toList();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -16,7 +16,6 @@
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.batch.StageWorkListener;
 import org.gradeledge.mesh.PlacedGroups.PlacedGroup;
-import org.gradeledge.selection.RendezvousHash;
 
 /**
  * Hands the stage work of a service to the box that ranks first for it by rendezvous hashing among
@@ -105,7 +104,7 @@
   }
 
   private String firstOf(Set<String> boxes, String service) {
-    return boxes.stream().min(RendezvousHash.byRank(service)).orElse(self);
+    return boxes.stream().min(peers.byRank(service)).orElse(self);
   }
 
   private void answered(PlacedGroup placement, StageGroupResult result) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.selection.RendezvousHash;
 import org.gradeledge.time.MonotonicClock;
 
 /** Which boxes are heard, and which of them do work for others. Confined to the event loop. */
@@ -20,16 +22,25 @@
   private static final long NOBODY_NEW_MILLIS = 300;
   private static final long LAST_LOOK_MILLIS = 1_200;
 
-  private record Seen(long nanos, String zone, boolean leaving, boolean alive) {
+  private record Seen(long nanos, String zone, boolean leaving, int strength, boolean alive) {
+
+    /** Returns the same of a box that is not heard any more. */
+    Seen lost() {
+      return new Seen(nanos, zone, leaving, strength, false);
+    }
 
     /** Returns whether anything but the time is not as it was. */
     boolean differs(Seen before) {
-      return alive != before.alive || leaving != before.leaving || !zone.equals(before.zone);
+      return alive != before.alive
+          || leaving != before.leaving
+          || strength != before.strength
+          || !zone.equals(before.zone);
     }
   }
 
   private final String self;
   private final String zone;
+  private final int strength;
   private final MonotonicClock clock;
   private final EventLog events;
   private final Map<String, Seen> seen = new HashMap<>();
@@ -41,9 +52,10 @@
   private Set<String> working = Set.of();
   private Set<String> zones = Set.of();
 
-  PeerBoard(String self, String zone, MonotonicClock clock, EventLog events) {
+  PeerBoard(String self, String zone, int strength, MonotonicClock clock, EventLog events) {
     this.self = self;
     this.zone = zone;
+    this.strength = strength;
     this.clock = clock;
     this.startNanos = clock.nanos();
     this.newestNanos = startNanos;
@@ -61,9 +73,9 @@
   }
 
   /** Notes what a box told so many milliseconds ago. */
-  void heard(String box, String boxZone, boolean boxLeaving, long ageMillis) {
+  void heard(String box, String boxZone, boolean boxLeaving, int boxStrength, long ageMillis) {
     long nanos = clock.nanos() - ageMillis * 1_000_000;
-    Seen now = new Seen(nanos, boxZone, boxLeaving, true);
+    Seen now = new Seen(nanos, boxZone, boxLeaving, boxStrength, true);
     Seen before = seen.put(box, now);
     if (before == null || now.differs(before)) {
       lookAgain();
@@ -84,7 +96,7 @@
     Seen last = seen.get(box);
     long silent = (now - last.nanos()) / 1_000_000;
     if (last.alive() && silent > silentMillis) {
-      seen.put(box, new Seen(last.nanos(), last.zone(), last.leaving(), false));
+      seen.put(box, last.lost());
       lookAgain();
       events.change("peer-lost").with("peer", box).with("silent-ms", silent).write();
       lostListeners.forEach(listener -> listener.accept(box));
@@ -117,6 +129,23 @@
         : Optional.ofNullable(seen.get(box)).map(Seen::zone);
   }
 
+  /**
+   * Returns the order in which boxes come to do something for others: the stronger ones first, as
+   * one box makes the calls of a whole service and a relay sends digests to its zone; among boxes
+   * that are alike by rendezvous hashing. Strengths within a factor of two count as alike, so that
+   * small differences do not bring all duties to one box.
+   */
+  Comparator<String> byRank(String duty) {
+    return Comparator.comparingInt(this::strengthClass)
+        .reversed()
+        .thenComparing(RendezvousHash.byRank(duty));
+  }
+
+  private int strengthClass(String box) {
+    int known = box.equals(self) ? strength : seen.containsKey(box) ? seen.get(box).strength() : 0;
+    return Integer.SIZE - Integer.numberOfLeadingZeros(known);
+  }
+
   /** Returns the zones of all boxes that were heard, and the own one. */
   Set<String> zones() {
     return zones;
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -179,6 +179,7 @@
     return new BoxMesh(
         peerName(settings),
         settings.zone(),
+        settings.strength(),
         settings.seeds(),
         network,
         loop,
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelaySettings.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelaySettings.java
@@ -10,6 +10,8 @@
  *
  * @param box its name
  * @param zone its availability zone
+ * @param strength how much work for others the box can bear beside its own, in hundredths of a
+ *     core; boxes compare it with each other's
  * @param caller where callers connect
  * @param ready where the balancer asks whether the box is ready
  * @param peer where other boxes connect; this names the box among them
@@ -26,6 +28,7 @@
 public record RelaySettings(
     String box,
     String zone,
+    int strength,
     InetSocketAddress caller,
     InetSocketAddress ready,
     InetSocketAddress peer,
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/HeartbeatRoutesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/HeartbeatRoutesTests.java
@@ -95,10 +95,10 @@
     }
     connected.addAll(all);
     for (String box : all) {
-      PeerBoard board = new PeerBoard(box, zoneOf(box), () -> 0, EventLogs.silent());
+      PeerBoard board = new PeerBoard(box, zoneOf(box), 1, () -> 0, EventLogs.silent());
       all.stream()
           .filter(other -> !other.equals(box))
-          .forEach(other -> board.heard(other, zoneOf(other), false, 0));
+          .forEach(other -> board.heard(other, zoneOf(other), false, 1, 0));
       boards.put(box, board);
       routes.put(
           box,
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
@@ -10,6 +10,6 @@
 
   static Heartbeat of(String zone, long configuration) {
     return new Heartbeat(
-        zone, false, false, configuration, 0, List.of(), Map.of(), Map.of(), Map.of());
+        zone, false, false, 1, configuration, 0, List.of(), Map.of(), Map.of(), Map.of());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/LostBoxesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/LostBoxesTests.java
@@ -14,7 +14,7 @@
 
   private static final int BEATS = 4_000;
 
-  private final PeerBoard peers = new PeerBoard("self", "zone-a", () -> 0, EventLogs.silent());
+  private final PeerBoard peers = new PeerBoard("self", "zone-a", 1, () -> 0, EventLogs.silent());
   private final Set<String> known = new HashSet<>();
   private final LostBoxes lost = new LostBoxes(peers, known, new Random(7));
 
@@ -50,7 +50,7 @@
   private void hear(int boxes) {
     for (int box = 0; box < boxes; box++) {
       known.add("box-" + box);
-      peers.heard("box-" + box, "zone-a", false, 0);
+      peers.heard("box-" + box, "zone-a", false, 1, 0);
     }
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
@@ -134,6 +134,7 @@
     return new BoxMesh(
         self,
         "zone-" + meshes.size() % 3,
+        1,
         seeds,
         network,
         loop,
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/PeerBoardTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/PeerBoardTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.gradeledge.event.EventLogs;
@@ -13,7 +14,8 @@
   private static final long MILLI = 1_000_000;
 
   private long nowNanos;
-  private final PeerBoard board = new PeerBoard("self", "zone", () -> nowNanos, EventLogs.silent());
+  private final PeerBoard board =
+      new PeerBoard("self", "zone", 1, () -> nowNanos, EventLogs.silent());
 
   @Test
   void aBoxThatHasJustStartedDoesNotKnowYetWhoElseIsThere() {
@@ -26,14 +28,14 @@
   @Test
   void aBoxWaitsWhileItStillHearsOthersForTheFirstTimeButNotForEver() {
     nowNanos += 450 * MILLI;
-    board.heard("one", "zone", false, 0);
+    board.heard("one", "zone", false, 1, 0);
     nowNanos += 200 * MILLI;
     assertThat(board.settled()).isFalse();
-    board.heard("two", "zone", false, 0);
+    board.heard("two", "zone", false, 1, 0);
     nowNanos += 290 * MILLI;
     assertThat(board.settled()).isFalse();
 
-    board.heard("three", "zone", false, 0);
+    board.heard("three", "zone", false, 1, 0);
     nowNanos += 260 * MILLI;
 
     assertThat(board.settled()).isTrue();
@@ -43,7 +45,7 @@
   void aBoxThatIsSilentForTooLongIsLostAndToldOfOnce() {
     List<String> lost = new ArrayList<>();
     board.onLost(lost::add);
-    board.heard("one", "zone", false, 400);
+    board.heard("one", "zone", false, 1, 400);
     nowNanos += 700 * MILLI;
     board.expire(1_000);
     board.expire(1_000);
@@ -54,7 +56,7 @@
 
   @Test
   void oneThatIsLeavingDoesNoWorkForOthers() {
-    board.heard("one", "zone", true, 0);
+    board.heard("one", "zone", true, 1, 0);
 
     assertThat(board.working()).containsExactly("self");
     assertThat(board.alive()).containsExactly("one", "self");
@@ -62,17 +64,54 @@
 
   @Test
   void whoWorksIsLookedAtAgainOnlyWhereABoxComesGoesOrLeaves() {
-    board.heard("one", "zone", false, 0);
+    board.heard("one", "zone", false, 1, 0);
     Set<String> before = board.working();
-    board.heard("one", "zone", false, 0);
+    board.heard("one", "zone", false, 1, 0);
     assertThat(board.working()).isSameAs(before);
 
-    board.heard("one", "zone", true, 0);
+    board.heard("one", "zone", true, 1, 0);
     assertThat(board.working()).containsExactly("self");
 
     board.leave();
-    board.heard("two", "other-zone", false, 0);
+    board.heard("two", "other-zone", false, 1, 0);
     assertThat(board.working()).containsExactly("two");
     assertThat(board.zones()).containsExactly("other-zone", "zone");
   }
+
+  @Test
+  void aStrongerBoxComesBeforeAllWeakerOnesInEveryDuty() {
+    for (int box = 0; box < 40; box++) {
+      board.heard("weak-" + box, "zone", false, 20, 0);
+    }
+    board.heard("strong", "zone", false, 150, 0);
+
+    for (int duty = 0; duty < 20; duty++) {
+      assertThat(board.alive().stream().min(board.byRank("duty-" + duty))).contains("strong");
+    }
+  }
+
+  @Test
+  void boxesThatAreAlikeShareTheDuties() {
+    for (int box = 0; box < 10; box++) {
+      board.heard("box-" + box, "zone", false, 36 + box, 0);
+    }
+    Set<String> chosen = new HashSet<>();
+    for (int duty = 0; duty < 60; duty++) {
+      chosen.add(board.alive().stream().min(board.byRank("duty-" + duty)).orElseThrow());
+    }
+
+    assertThat(chosen).hasSizeGreaterThan(6).doesNotContain("self");
+  }
+
+  @Test
+  void aBoxThatTellsAnotherStrengthComesToAnotherPlace() {
+    board.heard("one", "zone", false, 20, 0);
+    board.heard("two", "zone", false, 40, 0);
+    Set<String> before = board.working();
+
+    board.heard("one", "zone", false, 150, 0);
+
+    assertThat(board.working()).isNotSameAs(before);
+    assertThat(board.alive().stream().min(board.byRank("duty"))).contains("one");
+  }
 }
