--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -38,9 +38,6 @@
  */
 public final class BoxMesh {
 
-  /** Among many boxes each reads the news itself where it can. */
-  private static final long OWN_READ_MILLIS = 500;
-
   private final String self;
   private final String zone;
   private final int strength;
@@ -55,11 +52,11 @@
   private final PiecesToCome toCome;
   private Supplier<Map<String, List<Long>>> backlogs = Map::of;
   private BiConsumer<String, Map<String, List<Long>>> onBacklogs = (box, backlog) -> {};
-  private Runnable onUpstreamNews = () -> {};
   private final MeshLinks links;
   private final HeartbeatRelay relay;
   private final HeartbeatRoutes routes;
   private final DocumentExchange documents;
+  private final UpstreamNews upstreamNews;
   private final HeartbeatSender sender;
   private final LostBoxes lost;
   private long newestConfiguration = -1;
@@ -103,6 +100,7 @@
     this.routes =
         new HeartbeatRoutes(self, zone, peers, network::connectedIds, links::isUnreachable);
     this.documents = new DocumentExchange(links, loop, deployments, upstreams);
+    this.upstreamNews = new UpstreamNews(routes, upstreams, documents, loop);
     this.sender = new HeartbeatSender(network, loop, clock, peers, routes, relay, links, this::own);
     this.lost = new LostBoxes(peers, known, new Random());
     peers.onLost(relay::forget);
@@ -143,7 +141,8 @@
   public Mono<? extends DisposableServer> start(InetSocketAddress listen) {
     network.register(
         MeshMessages.HEARTBEAT, (from, beat) -> done(() -> heardDirectly(from.boxId(), beat)));
-    network.register(MeshMessages.DIGEST, (from, digest) -> done(() -> heardDigest(digest)));
+    network.register(
+        MeshMessages.DIGEST, (from, digest) -> done(() -> heardDigest(from.boxId(), digest)));
     network.register(
         MeshMessages.CONFIGURATION,
         (from, request) -> onLoop(() -> Mono.just(documents.configuration())));
@@ -169,7 +168,7 @@
 
   /** Runs an action whenever another box has read something newer of the list of upstreams. */
   public void onUpstreamNews(Runnable action) {
-    onUpstreamNews = action;
+    upstreamNews.onRead(action);
   }
 
   /** Returns whether there are many boxes and this one hears of them by digests. */
@@ -235,8 +234,11 @@
     }
   }
 
-  private void heardDigest(Digest digest) {
+  private void heardDigest(String relayBox, Digest digest) {
     sender.heardDigest();
+    digest.entries().stream()
+        .filter(entry -> entry.box().equals(relayBox))
+        .forEach(entry -> upstreamNews.heardFromRelay(relayBox, entry.beat().upstreams()));
     relay.takeNewer(digest).forEach(entry -> heard(entry.box(), entry.beat(), entry.ageMillis()));
   }
 
@@ -248,10 +250,7 @@
     known.add(box);
     beat.boxes().stream().filter(other -> !other.equals(self)).forEach(known::add);
     documents.learnConfigurationSoon(box, beat.configuration());
-    if (beat.upstreams() > upstreams.revision()) {
-      onUpstreamNews.run();
-      documents.learnUpstreamsSoon(box, beat.upstreams(), routes.many() ? OWN_READ_MILLIS : 0);
-    }
+    upstreamNews.heardOf(box, beat.upstreams());
     if (isNews(beat)) {
       sender.tellDigestsSoon();
     }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
@@ -11,8 +11,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.metrics.BoxMetrics;
@@ -38,10 +40,15 @@
 
   private static final Duration LIMIT = Duration.ofSeconds(20);
 
+  private static final long REVISION = 7;
+  private static final UpstreamRecord UPSTREAM =
+      new UpstreamRecord("id", "service", "127.0.0.1", 1, "zone-0", 1, false);
+
   private final LoopResources loops = LoopResources.create("mesh", 1, 1, true, false);
   private final EventLoop loop = loops.onClient(false).next();
   private final List<BoxMesh> meshes = new ArrayList<>();
   private final List<PeerNetwork> networks = new ArrayList<>();
+  private final List<UpstreamRegistry> registries = new ArrayList<>();
   private final List<DisposableServer> servers = new ArrayList<>();
   private final List<String> addresses = new ArrayList<>();
 
@@ -103,6 +110,41 @@
     await(() -> meshes.stream().allMatch(mesh -> mesh.boxes() == BOXES));
   }
 
+  @Test
+  void newsOfUpstreamsReachesAllThoughOnlyRelaysReadIt() throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      startBox();
+    }
+    await(() -> meshes.stream().allMatch(BoxMesh::hearsDigests));
+    AtomicInteger reads = new AtomicInteger();
+    onLoop(() -> readNewsOnAsking(reads));
+
+    onLoop(() -> learn(0));
+    await(() -> registries.stream().allMatch(each -> each.revision() == REVISION));
+
+    assertThat(reads.get()).isLessThan(BOXES / 2);
+  }
+
+  private boolean readNewsOnAsking(AtomicInteger reads) {
+    for (int box = 0; box < BOXES; box++) {
+      int reader = box;
+      meshes
+          .get(box)
+          .onUpstreamNews(
+              () -> {
+                reads.incrementAndGet();
+                learn(reader);
+              });
+    }
+    return true;
+  }
+
+  private boolean learn(int box) {
+    registries.get(box).replaceAll(REVISION, List.of(UPSTREAM));
+    meshes.get(box).tellNow();
+    return true;
+  }
+
   private void stopBox(int index) {
     networks.remove(index).close();
     servers.remove(index).disposeNow();
@@ -131,6 +173,8 @@
 
   private BoxMesh newMesh(String self, List<String> seeds, PeerNetwork network) {
     MonotonicClock clock = MonotonicClock.system();
+    UpstreamRegistry registry = new UpstreamRegistry(EventLogs.silent());
+    registries.add(registry);
     return new BoxMesh(
         self,
         "zone-" + meshes.size() % 3,
@@ -143,7 +187,7 @@
               throw new IllegalArgumentException("none is read in this test");
             },
             EventLogs.silent()),
-        new UpstreamRegistry(EventLogs.silent()),
+        registry,
         new LoadBoard(clock, EventLogs.silent()),
         new PiecesToCome(),
         clock,
