Among many boxes calls to the store for fallback alone come half as often

Change: a call that waits for a new configuration waits 25 s instead of 10, a box that is no reader looks at the list of upstreams every 5 bounds instead of 2.5; digests tell of news meanwhile.

--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -44,12 +44,12 @@
 public final class RelayBox {
 
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
-  private static final Duration LONG_CONFIGURATION_WAIT = Duration.ofSeconds(10);
+  private static final Duration LONG_CONFIGURATION_WAIT = Duration.ofSeconds(25);
   private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(60);
   private static final double PAUSE_OF_LEAVING_BOUND = 0.5;
   private static final double PAUSE_ALONE = 0.2;
   private static final double PAUSE_OF_READER = 0.35;
-  private static final double PAUSE_OF_OTHERS = 2.5;
+  private static final double PAUSE_OF_OTHERS = 5;
   private static final int READERS = 6;
   private static final int BOXES_THAT_SHARE = 3;
   private static final int FEWEST_BOXES = 6;
@@ -152,7 +152,7 @@
         this::upstreamPause);
   }
 
-  /** A call whose answer is lost is noticed late where it waits long; then other boxes tell. */
+  /** A call whose answer is lost is noticed late where it waits long; then digests tell. */
   private Duration configurationWait() {
     return mesh.hearsDigests() ? LONG_CONFIGURATION_WAIT : CONFIGURATION_WAIT;
   }
