--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
@@ -0,0 +1,99 @@
+package org.gradeledge.node;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.follow.TableFollower;
+import org.gradeledge.mesh.BoxMesh;
+
+/**
+ * How a box follows the platform's tables: how often it calls depends on how many other boxes do so
+ * and would tell it. Each call has its price, and among many boxes nearly all news comes by
+ * digests. Confined to the event loop.
+ */
+final class PlatformFollowers {
+
+  /** How long a call waits for a new configuration; a lost answer is noticed only after that. */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
+
+  /** The same where digests tell of a new configuration meanwhile. */
+  private static final Duration LONG_CONFIGURATION_WAIT = Duration.ofSeconds(25);
+
+  /** Keeps changes in quick succession from being read one by one. */
+  private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(60);
+
+  /** Parts of the bound within which an upstream that leaves must get no new work. */
+  private static final double PAUSE_OF_FEW = 0.5;
+
+  private static final double PAUSE_ALONE = 0.2;
+  private static final double PAUSE_OF_READER = 0.35;
+
+  /** Only a box that no news reaches any more depends on it. */
+  private static final double PAUSE_OF_OTHERS = 5;
+
+  /** So many that some are left where several are cut off, killed or turned away at once. */
+  private static final int READERS = 6;
+
+  /** Fewer boxes than this cannot rely on another one's look within half of the bound. */
+  private static final int BOXES_THAT_SHARE = 3;
+
+  private final Duration leavingBound;
+  private final BoxMesh mesh;
+  private final TableFollower configurations;
+  private final TableFollower upstreams;
+
+  PlatformFollowers(
+      RelayAdapters adapters,
+      Duration leavingBound,
+      BoxMesh mesh,
+      DeploymentRegistry deployments,
+      UpstreamRegistry registry,
+      EventLoop loop,
+      EventLog events) {
+    this.leavingBound = leavingBound;
+    this.mesh = mesh;
+    this.configurations =
+        new TableFollower(
+            "configuration",
+            adapters.configurationTable(),
+            new ConfigurationTableListener(deployments),
+            loop,
+            events,
+            this::configurationWait,
+            () -> CONFIGURATION_PAUSE);
+    this.upstreams =
+        new TableFollower(
+            "upstreams",
+            adapters.upstreamTable(),
+            new UpstreamTableListener(
+                registry, adapters.upstreamReader(), events, mesh::tellNow, loop),
+            loop,
+            events,
+            () -> Duration.ZERO,
+            this::upstreamPause);
+    mesh.onUpstreamNews(upstreams::lookNow);
+  }
+
+  void start() {
+    configurations.start();
+    upstreams.start();
+  }
+
+  private Duration configurationWait() {
+    return mesh.hearsDigests() ? LONG_CONFIGURATION_WAIT : CONFIGURATION_WAIT;
+  }
+
+  /** Boxes that hear each other share the reading, as each tells the others what it learned. */
+  private Duration upstreamPause() {
+    return Duration.ofMillis((long) (leavingBound.toMillis() * partOfBound()));
+  }
+
+  private double partOfBound() {
+    if (mesh.hearsDigests()) {
+      return mesh.hasDuty("read-upstreams", READERS) ? PAUSE_OF_READER : PAUSE_OF_OTHERS;
+    }
+    return mesh.boxes() < BOXES_THAT_SHARE ? PAUSE_ALONE : PAUSE_OF_FEW;
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -17,7 +16,6 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
-import org.gradeledge.follow.TableFollower;
 import org.gradeledge.mesh.BoxMesh;
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.peer.PeerNetwork;
@@ -43,15 +41,6 @@
  */
 public final class RelayBox {
 
-  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
-  private static final Duration LONG_CONFIGURATION_WAIT = Duration.ofSeconds(25);
-  private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(60);
-  private static final double PAUSE_OF_LEAVING_BOUND = 0.5;
-  private static final double PAUSE_ALONE = 0.2;
-  private static final double PAUSE_OF_READER = 0.35;
-  private static final double PAUSE_OF_OTHERS = 5;
-  private static final int READERS = 6;
-  private static final int BOXES_THAT_SHARE = 3;
   private static final int FEWEST_BOXES = 6;
   private static final double CONNECTION_SHARE = 0.9;
   private static final int FEWEST_CONNECTIONS = 3;
@@ -70,8 +59,7 @@
   private final BoxMetrics boxMetrics = new BoxMetrics();
   private final RelayHandler handler;
   private final RelayServer server;
-  private final TableFollower configurationFollower;
-  private final TableFollower upstreamFollower;
+  private final PlatformFollowers followers;
   private final PlannedStop stop;
 
   /** Puts the box together; it does not listen yet. */
@@ -85,10 +73,10 @@
     this.deployments = new DeploymentRegistry(adapters.configurations(), events);
     this.upstreams = new UpstreamRegistry(events);
     LoadBoard board = new LoadBoard(clock, events);
-    this.configurationFollower = followConfiguration(adapters);
-    this.upstreamFollower = followUpstreams(adapters);
     this.mesh = newMesh(board, clock);
-    mesh.onUpstreamNews(upstreamFollower::lookNow);
+    this.followers =
+        new PlatformFollowers(
+            adapters, settings.leavingBound(), mesh, deployments, upstreams, loop, events);
     RetryBudget budget =
         new RetryBudget(
             clock,
@@ -129,47 +117,6 @@
     this.stop = new PlannedStop(settings.grace(), server, handler, mesh, loop, events);
   }
 
-  private TableFollower followConfiguration(RelayAdapters adapters) {
-    return new TableFollower(
-        "configuration",
-        adapters.configurationTable(),
-        new ConfigurationTableListener(deployments),
-        loop,
-        events,
-        this::configurationWait,
-        () -> CONFIGURATION_PAUSE);
-  }
-
-  private TableFollower followUpstreams(RelayAdapters adapters) {
-    return new TableFollower(
-        "upstreams",
-        adapters.upstreamTable(),
-        new UpstreamTableListener(
-            upstreams, adapters.upstreamReader(), events, this::tellPeers, loop),
-        loop,
-        events,
-        () -> Duration.ZERO,
-        this::upstreamPause);
-  }
-
-  /** A call whose answer is lost is noticed late where it waits long; then digests tell. */
-  private Duration configurationWait() {
-    return mesh.hearsDigests() ? LONG_CONFIGURATION_WAIT : CONFIGURATION_WAIT;
-  }
-
-  /** Boxes that hear each other share the reading, as each tells the others what it learned. */
-  private Duration upstreamPause() {
-    double part = mesh.boxes() < BOXES_THAT_SHARE ? PAUSE_ALONE : PAUSE_OF_LEAVING_BOUND;
-    if (mesh.hearsDigests()) {
-      part = mesh.hasDuty("read-upstreams", READERS) ? PAUSE_OF_READER : PAUSE_OF_OTHERS;
-    }
-    return Duration.ofMillis((long) (settings.leavingBound().toMillis() * part));
-  }
-
-  private void tellPeers() {
-    mesh.tellNow();
-  }
-
   private BoxMesh newMesh(LoadBoard board, MonotonicClock clock) {
     PeerTransport transport =
         new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops));
@@ -203,12 +150,7 @@
         .then(listenReady())
         .then(mesh.start(settings.peer()))
         .then(listenMetrics())
-        .then(Mono.fromRunnable(() -> loop.execute(this::follow)));
-  }
-
-  private void follow() {
-    configurationFollower.start();
-    upstreamFollower.start();
+        .then(Mono.fromRunnable(() -> loop.execute(followers::start)));
   }
 
   /** Stops as planned; returns once everything is done. Must not be called on the event loop. */
