--- a/gradeledge-core/src/main/java/org/gradeledge/batch/CallLoad.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/CallLoad.java
@@ -33,10 +33,6 @@
     }
   }
 
-  boolean isEmpty() {
-    return pieces.isEmpty();
-  }
-
   /** Returns the pieces of the call, most urgent first; empty where none fits. */
   List<StagePiece> pieces() {
     return List.copyOf(pieces);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -79,18 +79,10 @@
             .thenComparingLong(piece -> piece.group().orderNanos()));
   }
 
-  /**
-   * Takes out the most urgent pieces that a call has place and room for: of groups that suit the
-   * upstream, and if there are any, of all others as far as places are left. A place in a call that
-   * is made anyway costs a piece's own time and not that of a call.
-   */
+  /** Takes out the most urgent pieces that a call has place and room for. */
   List<StagePiece> take(int most, long roomBytes, Predicate<GroupInProgress> suits) {
     CallLoad load = new CallLoad(most, roomBytes);
-    Map<GroupInProgress, List<StagePiece>> groups = byGroup();
-    groups.forEach((group, waiting) -> offer(load, group, waiting, suits));
-    if (!load.isEmpty()) {
-      groups.forEach((group, waiting) -> offer(load, group, waiting, suits.negate()));
-    }
+    byGroup().forEach((group, waiting) -> offer(load, group, waiting, suits));
     List<StagePiece> chosen = load.pieces();
     pieces.removeAll(Set.copyOf(chosen));
     return chosen;
