Events of a stream that come close together are read and passed on in one go

Cause: a box woke up for each event of each stream.

Change: once an event has been passed on, the connection is read again after a quarter of the time within which an event has to be passed on (pass_ms: 30 to 50 ms); all that was read together is one write to the caller. The first event never waits.

--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -84,7 +84,8 @@
             settings.retryAllowance(),
             settings.retryWindow(),
             this::boxes);
-    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit);
+    PooledUpstreamCaller caller =
+        new PooledUpstreamCaller(loop, this::connectionLimit, settings.eventPause());
     upstreams.onEnd(caller::forget);
     upstreams.onEnd(board::forget);
     BatchCoordinator coordinator =
