--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -15,7 +15,6 @@
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.batch.StageWorkListener;
-import org.gradeledge.mesh.PlacedGroups.PlacedGroup;
 
 /**
  * Hands the stage work of a service to the box that ranks first for it by rendezvous hashing among
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PlacedGroups.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PlacedGroups.java
@@ -16,32 +16,6 @@
 
   private final Map<String, List<PlacedGroup>> byRequest = new HashMap<>();
 
-  /** A group and the box that has it; two with the same content are still two. */
-  static final class PlacedGroup {
-
-    private final StageGroup group;
-    private final StageWorkListener listener;
-    private final String box;
-
-    private PlacedGroup(StageGroup group, StageWorkListener listener, String box) {
-      this.group = group;
-      this.listener = listener;
-      this.box = box;
-    }
-
-    StageGroup group() {
-      return group;
-    }
-
-    StageWorkListener listener() {
-      return listener;
-    }
-
-    String box() {
-      return box;
-    }
-  }
-
   /** Adds a group that a box has. */
   PlacedGroup add(StageGroup group, StageWorkListener listener, String box) {
     PlacedGroup placed = new PlacedGroup(group, listener, box);
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/PlacedGroupsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/PlacedGroupsTests.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageWorkListener;
-import org.gradeledge.mesh.PlacedGroups.PlacedGroup;
 import org.junit.jupiter.api.Test;
 
 class PlacedGroupsTests {
