--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerTransport.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.ssl.SslContext;
+import io.netty.resolver.DefaultAddressResolverGroup;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import reactor.core.publisher.Mono;
@@ -78,6 +79,7 @@
     TcpClient client =
         TcpClient.newConnection()
             .remoteAddress(() -> address)
+            .resolver(DefaultAddressResolverGroup.INSTANCE)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .doOnConnected(PeerTransport::addFraming);
     TcpClient placed = loops.map(each -> client.runOn(each, false)).orElse(client);
