Events of a stream are passed on one by one again

An event comes every 20 to 40 ms, so that a pause of 50 ms saves hardly a read and costs a timer each.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.ToIntFunction;
@@ -31,7 +30,6 @@
   private static final int CHUNK_BYTES = 64 * 1024;
 
   private final EventLoop loop;
-  private final Duration eventPause;
   private final Bootstrap bootstrap;
   private final ToIntFunction<UpstreamRecord> connectionLimit;
   private final Map<String, UpstreamConnections> byUpstream = new HashMap<>();
@@ -40,12 +38,9 @@
    * Creates a caller without connections.
    *
    * @param connectionLimit most connections that this box may have to an upstream
-   * @param eventPause how long an event of a stream may wait for those after it
    */
-  public PooledUpstreamCaller(
-      EventLoop loop, ToIntFunction<UpstreamRecord> connectionLimit, Duration eventPause) {
+  public PooledUpstreamCaller(EventLoop loop, ToIntFunction<UpstreamRecord> connectionLimit) {
     this.loop = loop;
-    this.eventPause = eventPause;
     this.connectionLimit = connectionLimit;
     this.bootstrap =
         new Bootstrap()
@@ -87,7 +82,7 @@
 
   private void connect(
       UpstreamRecord target, UpstreamConnections connections, CallInProgress call) {
-    UpstreamConnection connection = new UpstreamConnection(connections, eventPause);
+    UpstreamConnection connection = new UpstreamConnection(connections);
     connections.opened();
     ChannelFuture connecting =
         bootstrap
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -8,14 +8,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -36,7 +33,6 @@
   private static final int INFORMATIONAL_END = 200;
 
   private final UpstreamConnections owner;
-  private final GatheredEvents gathered;
   private @Nullable ChannelHandlerContext context;
   private @Nullable CallInProgress call;
   private @Nullable ChannelFuture written;
@@ -47,14 +43,8 @@
   private long keptMillis = DEFAULT_KEPT_MILLIS;
   private long restingSince = System.nanoTime();
 
-  /**
-   * Creates a connection that is not open yet.
-   *
-   * @param eventPause how long an event of a stream may wait for those after it
-   */
-  UpstreamConnection(UpstreamConnections owner, Duration eventPause) {
+  UpstreamConnection(UpstreamConnections owner) {
     this.owner = owner;
-    this.gathered = new GatheredEvents(eventPause);
   }
 
   @Override
@@ -131,7 +121,6 @@
     }
     reusable &= HttpUtil.isKeepAlive(response) && isFramed(response);
     noteKeptTime(response.headers().get(KEEP_ALIVE));
-    gathered.begin(isEventStream(response));
     current.head(response.status().code(), response.headers());
   }
 
@@ -149,30 +138,15 @@
     }
     ByteBuf bytes = content.content();
     if (bytes.isReadable()) {
-      gathered.add(bytes);
+      current.content(bytes);
     }
     if (last) {
-      gathered.handOn(current);
       call = null;
       finish();
       current.complete();
     }
   }
 
-  @Override
-  public void channelReadComplete(ChannelHandlerContext channel) {
-    CallInProgress current = call;
-    if (current != null && gathered.handOn(current)) {
-      gathered.pauseReading(channel.channel());
-    }
-    channel.fireChannelReadComplete();
-  }
-
-  private static boolean isEventStream(HttpResponse response) {
-    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-    return type.startsWith(HttpHeaderValues.TEXT_EVENT_STREAM.toString());
-  }
-
   private static boolean isOthersAnswer(CallInProgress current, HttpResponse response) {
     return current
         .request()
@@ -227,7 +201,6 @@
     call = null;
     close();
     if (current != null) {
-      gathered.handOn(current);
       current.fail(failure);
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -84,8 +84,7 @@
             settings.retryAllowance(),
             settings.retryWindow(),
             this::boxes);
-    PooledUpstreamCaller caller =
-        new PooledUpstreamCaller(loop, this::connectionLimit, settings.eventPause());
+    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit);
     upstreams.onEnd(caller::forget);
     upstreams.onEnd(board::forget);
     BatchCoordinator coordinator =
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelaySettings.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelaySettings.java
@@ -22,8 +22,6 @@
  * @param retryAllowance requests that may be sent again besides, in a window
  * @param retryWindow length of a window
  * @param leavingBound within this an upstream that leaves must get no new work
- * @param eventPause how long an event of a stream may wait for those after it, to be passed on
- *     together
  * @param grace time between the signal to stop and the end
  * @since 0.2
  */
@@ -41,7 +39,6 @@
     double retryAllowance,
     Duration retryWindow,
     Duration leavingBound,
-    Duration eventPause,
     Duration grace) {
 
   /** Copies the list. */
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -34,8 +33,7 @@
   private final EventLoop loop = group.next();
   private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> connections = new LinkedBlockingQueue<>();
-  private final PooledUpstreamCaller caller =
-      new PooledUpstreamCaller(loop, upstream -> LIMIT, Duration.ZERO);
+  private final PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, upstream -> LIMIT);
   private DisposableServer server;
 
   @BeforeEach
