--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerNetwork.java
@@ -16,7 +16,7 @@
 
 /**
  * All connections of a box to its peers: one connection a pair at most. With whom it is connected
- * is the user's choice: a set of peers that are always kept up, others on demand.
+ * is its owner's choice: a set of peers that are always kept up, others on demand.
  *
  * <p>Either side may dial; where both have, the connection dialed by the box with the smaller name
  * is kept. Thread-safe.
