Read again: one way to forget connections, ranks of relays worked out once, dead code out

- UpstreamCaller.distrust only called PooledUpstreamCaller.forget: one method, forget, is left.
The fake's list of what was distrusted was read by no test.
- HeartbeatRoutes sorted the boxes of each zone anew up to eight times a heartbeat since connections are on demand; the order is now kept until the set of working boxes changes, as MeshStageWorkClient keeps its makers.
Not measured.
- PlacedGroups.all and PeerDialer.isDisposed were needed by nobody; two comments named rendezvous hashing alone where the stronger boxes come first.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -67,7 +67,7 @@
     return call;
   }
 
-  /** Closes the kept connections to an upstream that takes no new work. */
+  @Override
   public void forget(UpstreamRecord target) {
     UpstreamConnections connections = byUpstream.remove(target.id());
     if (connections != null) {
@@ -75,11 +75,6 @@
     }
   }
 
-  @Override
-  public void distrust(UpstreamRecord target) {
-    forget(target);
-  }
-
   private void connect(
       UpstreamRecord target, UpstreamConnections connections, CallInProgress call) {
     UpstreamConnection connection = new UpstreamConnection(connections);
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
@@ -13,9 +13,9 @@
   UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener);
 
   /**
-   * Uses no connection again that is open now to an upstream, as one of them went silent: what
-   * makes one go silent without a reset does so to all of that age. New ones are opened beside
-   * them.
+   * Uses no connection again that is open now to an upstream: it takes no new work, or one of them
+   * went silent, and what makes one go silent without a reset does so to all of that age. New ones
+   * are opened beside those on which a call is under way.
    */
-  void distrust(UpstreamRecord target);
+  void forget(UpstreamRecord target);
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRoutes.java
@@ -1,6 +1,8 @@
 package org.gradeledge.mesh;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -10,9 +12,9 @@
  * Whom a box tells what it has. Few boxes tell all others. Among many, each tells two relays of its
  * zone, and the relays of different zones tell each other; so what a box sends and receives does
  * not grow with the number of boxes, but for the digests' length. Relays are those that rank first
- * by rendezvous hashing among the boxes that are heard and connected. Connections are kept up with
- * those and one spare of each zone alone, so that they do not grow with the number of boxes either.
- * Confined to the event loop.
+ * ({@link PeerBoard#byRank}) among the boxes that are heard and connected. Connections are kept up
+ * with those and one spare of each zone alone, so that they do not grow with the number of boxes
+ * either. Confined to the event loop.
  */
 final class HeartbeatRoutes {
 
@@ -29,6 +31,8 @@
   private final PeerBoard peers;
   private final Supplier<Set<String>> connected;
   private final Predicate<String> unreachable;
+  private final Map<String, List<String>> rankedByZone = new HashMap<>();
+  private Set<String> rankedAmong = Set.of();
 
   /**
    * Creates the routes of a box.
@@ -104,11 +108,26 @@
   }
 
   private List<String> first(String ofZone, Predicate<String> usable, int count) {
-    return peers.working().stream()
+    return ranked(ofZone).stream()
         .filter(box -> box.equals(self) || usable.test(box))
+        .limit(count)
+        .toList();
+  }
+
+  /** Each heartbeat asks several times, and the order changes only where a box does. */
+  private List<String> ranked(String ofZone) {
+    Set<String> working = peers.working();
+    if (working != rankedAmong) {
+      rankedAmong = working;
+      rankedByZone.clear();
+    }
+    return rankedByZone.computeIfAbsent(ofZone, zoneName -> rankedOf(working, zoneName));
+  }
+
+  private List<String> rankedOf(Set<String> boxes, String ofZone) {
+    return boxes.stream()
         .filter(box -> peers.zoneOf(box).filter(ofZone::equals).isPresent())
         .sorted(peers.byRank("relay"))
-        .limit(count)
         .toList();
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshStageWorkClient.java
@@ -17,9 +17,9 @@
 import org.gradeledge.batch.StageWorkListener;
 
 /**
- * Hands the stage work of a service to the box that ranks first for it by rendezvous hashing among
- * those that are heard, so that the pieces of all boxes meet. If that box is lost or does not take
- * the work, this box does it itself. Confined to the event loop.
+ * Hands the stage work of a service to the box that ranks first for it ({@link PeerBoard#byRank})
+ * among those that are heard, so that the pieces of all boxes meet. If that box is lost or does not
+ * take the work, this box does it itself. Confined to the event loop.
  */
 final class MeshStageWorkClient implements StageWorkClient {
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PlacedGroups.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PlacedGroups.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageWorkListener;
 
@@ -43,10 +42,9 @@
 
   /** Returns the groups that a box has, as they are now. */
   List<PlacedGroup> ofBox(String box) {
-    return all().filter(placed -> placed.box().equals(box)).toList();
-  }
-
-  private Stream<PlacedGroup> all() {
-    return byRequest.values().stream().flatMap(List::stream);
+    return byRequest.values().stream()
+        .flatMap(List::stream)
+        .filter(placed -> placed.box().equals(box))
+        .toList();
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerDialer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerDialer.java
@@ -97,9 +97,4 @@
   public void dispose() {
     task.dispose();
   }
-
-  @Override
-  public boolean isDisposed() {
-    return task.isDisposed();
-  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -137,7 +137,7 @@
   private void giveUpSilent(Attempt watched) {
     if (watched == attempt && history.mayRunAgain()) {
       watched.cancel();
-      services.caller().distrust(watched.upstream());
+      services.caller().forget(watched.upstream());
       services.board().failed(watched.upstream(), true, "silent");
       failed(watched, CallFailure.BROKEN);
     }
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -3,9 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -71,7 +69,6 @@
   }
 
   private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
-  private final List<String> distrusted = new CopyOnWriteArrayList<>();
 
   @Override
   public UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
@@ -80,15 +77,9 @@
     return call;
   }
 
+  /** Does nothing, as there are no connections. */
   @Override
-  public void distrust(UpstreamRecord target) {
-    distrusted.add(target.id());
-  }
-
-  /** Returns the upstreams whose open connections are not to be used again. */
-  public List<String> distrusted() {
-    return List.copyOf(distrusted);
-  }
+  public void forget(UpstreamRecord target) {}
 
   /** Returns the next call, waiting for it. */
   public Call next() throws InterruptedException {
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -69,7 +69,7 @@
   void connectionsThatWereOpenWhenOneWentSilentAreNotUsedAgain() throws Exception {
     assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
 
-    loop.submit(() -> caller.distrust(upstream())).get();
+    loop.submit(() -> caller.forget(upstream())).get();
 
     assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
     assertThat(connections).hasSize(2);
