Boxes keep evacuated zones free of new work

Change: the follower of the configuration reads the orders about zones beside it, with no further call; heartbeats and digests carry the state with the revision it was read at, and the newest holds, so that a box the store turns away, or that has just started, learns it from the others before it learns a configuration from them. Upstreams of such a zone stay known, take no first try, retry, resumed stream, stage call or release of results; queues look again at once. Cold upstreams are not limited yet.

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -31,6 +31,9 @@
   private final Map<String, UpstreamRecord> byAddress = new HashMap<>();
   private final Set<String> left = new HashSet<>();
   private final Set<String> lapsed = new HashSet<>();
+  private final List<Consumer<Set<String>>> restoredListeners = new ArrayList<>();
+  private final List<Runnable> evacuatedListeners = new ArrayList<>();
+  private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
   private boolean sourceAway;
   private long revision = -1;
   private long changedAt = -1;
@@ -45,6 +48,56 @@
     leavingListeners.add(listener);
   }
 
+  /** Tells a listener whenever further zones take no new work. */
+  public void onEvacuated(Runnable listener) {
+    evacuatedListeners.add(listener);
+  }
+
+  /** Tells a listener of zones that take new work again. */
+  public void onRestored(Consumer<Set<String>> listener) {
+    restoredListeners.add(listener);
+  }
+
+  /** Returns the zones that take no new work. */
+  public ZoneEvacuations evacuations() {
+    return evacuations;
+  }
+
+  /**
+   * Takes on which zones take no new work, unless something newer is known. What their upstreams
+   * work on goes on.
+   *
+   * @return whether the zones are others than before
+   */
+  public boolean evacuate(ZoneEvacuations told) {
+    if (!told.isNewerThan(evacuations)) {
+      return false;
+    }
+    Set<String> before = evacuations.zones();
+    evacuations = told;
+    if (told.zones().equals(before)) {
+      return false;
+    }
+    rebuild();
+    logEvacuations(before);
+    Set<String> restored = new HashSet<>(before);
+    restored.removeAll(told.zones());
+    if (!restored.isEmpty()) {
+      restoredListeners.forEach(listener -> listener.accept(restored));
+    }
+    evacuatedListeners.forEach(Runnable::run);
+    return true;
+  }
+
+  private void logEvacuations(Set<String> before) {
+    events
+        .change("zones-evacuated")
+        .with("zones", String.join(" ", evacuations.sortedZones()))
+        .with("before", String.join(" ", before))
+        .with("revision", evacuations.revision())
+        .write();
+  }
+
   /** Returns the revision of the list that the registry stands at, -1 at the start. */
   public long revision() {
     return revision;
@@ -73,7 +126,11 @@
   /** Returns whether new work may still be sent to an upstream. */
   public boolean isUsable(String id) {
     UpstreamRecord known = byId.get(id);
-    return known != null && !known.leaving();
+    return known != null && takesNewWork(known);
+  }
+
+  private boolean takesNewWork(UpstreamRecord upstream) {
+    return !upstream.leaving() && !evacuations.zones().contains(upstream.zone());
   }
 
   /** Returns the upstream that has an address. */
@@ -202,7 +259,7 @@
     byAddress.clear();
     byId.values().forEach(upstream -> byAddress.put(upstream.address(), upstream));
     byId.values().stream()
-        .filter(upstream -> !upstream.leaving())
+        .filter(this::takesNewWork)
         .forEach(
             upstream ->
                 usable.computeIfAbsent(upstream.service(), s -> new ArrayList<>()).add(upstream));
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -224,7 +224,8 @@
         List.of(),
         board.ownShares(),
         backlogs.get(),
-        toCome.own());
+        toCome.own(),
+        upstreams.evacuations());
   }
 
   private void heardDirectly(String box, Heartbeat beat) {
@@ -252,7 +253,8 @@
     beat.boxes().stream().filter(other -> !other.equals(self)).forEach(known::add);
     documents.learnConfigurationSoon(box, beat.configuration());
     upstreamNews.heardOf(box, beat.upstreams());
-    if (isNews(beat)) {
+    boolean ordered = upstreams.evacuate(beat.evacuations());
+    if (isNews(beat) || ordered) {
       sender.tellDigestsSoon();
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 import java.util.Map;
+import org.gradeledge.discovery.ZoneEvacuations;
 import org.gradeledge.selection.LoadShare;
 
 /**
@@ -19,6 +20,7 @@
  * @param backlogMillis how long the stage work that waits at it keeps each service busy, for each
  *     priority what is as urgent or more
  * @param piecesToCome pieces that its requests will want made, by service and priority
+ * @param evacuations zones whose upstreams take nothing new
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record Heartbeat(
@@ -31,7 +33,8 @@
     List<String> boxes,
     Map<String, LoadShare> shares,
     Map<String, List<Long>> backlogMillis,
-    Map<String, List<Long>> piecesToCome) {
+    Map<String, List<Long>> piecesToCome,
+    ZoneEvacuations evacuations) {
 
   /** Returns whether the box knows so few others that it tells all of them what it hears. */
   boolean isOfFew() {
@@ -50,7 +53,8 @@
         heard,
         shares,
         backlogMillis,
-        piecesToCome);
+        piecesToCome,
+        evacuations);
   }
 
   /** Returns the same, to be passed on. */
@@ -65,6 +69,7 @@
         boxes,
         shares,
         backlogMillis,
-        piecesToCome);
+        piecesToCome,
+        evacuations);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -1,8 +1,10 @@
 package org.gradeledge.mesh;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import org.gradeledge.discovery.ZoneEvacuations;
 import org.gradeledge.peer.MessageFormat;
 import org.gradeledge.peer.MessageReader;
 import org.gradeledge.selection.LoadShare;
@@ -11,8 +13,9 @@
 /** Heartbeats, as arrays. */
 final class HeartbeatFormat implements MessageFormat<Heartbeat> {
 
-  private static final int FIELDS = 10;
+  private static final int FIELDS = 11;
   private static final int SHARE_FIELDS = 2;
+  private static final int EVACUATION_FIELDS = 2;
 
   @Override
   public void write(MessagePacker packer, Heartbeat beat) throws IOException {
@@ -36,6 +39,16 @@
     }
     writeNumbers(packer, beat.backlogMillis());
     writeNumbers(packer, beat.piecesToCome());
+    write(packer, beat.evacuations());
+  }
+
+  private static void write(MessagePacker packer, ZoneEvacuations evacuations) throws IOException {
+    packer.packArrayHeader(EVACUATION_FIELDS);
+    packer.packLong(evacuations.revision());
+    packer.packArrayHeader(evacuations.zones().size());
+    for (String zone : evacuations.sortedZones()) {
+      packer.packString(zone);
+    }
   }
 
   private static void writeNumbers(MessagePacker packer, Map<String, List<Long>> lists)
@@ -64,11 +77,20 @@
             reader.list(MessageReader::text),
             reader.map(HeartbeatFormat::readShare),
             reader.map(HeartbeatFormat::readNumbers),
-            reader.map(HeartbeatFormat::readNumbers));
+            reader.map(HeartbeatFormat::readNumbers),
+            readEvacuations(reader));
     reader.skip(more);
     return beat;
   }
 
+  private static ZoneEvacuations readEvacuations(MessageReader reader) throws IOException {
+    int more = reader.beginRecord(EVACUATION_FIELDS);
+    long revision = reader.number();
+    List<String> zones = reader.list(MessageReader::text);
+    reader.skip(more);
+    return new ZoneEvacuations(revision, new HashSet<>(zones));
+  }
+
   private static LoadShare readShare(MessageReader reader) throws IOException {
     int more = reader.beginRecord(SHARE_FIELDS);
     LoadShare share = new LoadShare(reader.integer(), reader.number());
--- a/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
@@ -57,8 +57,8 @@
     this.configurations =
         new TableFollower(
             "configuration",
-            adapters.configurationTable(),
-            new ConfigurationTableListener(deployments),
+            adapters.orderTable(),
+            new OperatorTableListener(adapters.orders(), deployments, registry, mesh::tellNow),
             loop,
             events,
             this::configurationWait,
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
@@ -12,7 +12,8 @@
  * @param stages how calls for stage work look on the wire
  * @param configurations reads configuration documents
  * @param upstreamReader reads rows of the list of upstreams
- * @param configurationTable holds the newest configuration document
+ * @param orders tells what rows of the table of orders mean
+ * @param orderTable holds what the operator orders: the newest configuration document, evacuations
  * @param upstreamTable holds the list of upstreams
  * @since 0.2
  */
@@ -21,5 +22,6 @@
     StageProtocol stages,
     DeploymentReader configurations,
     UpstreamRowReader upstreamReader,
-    RevisionedTable configurationTable,
+    OperatorOrderReader orders,
+    RevisionedTable orderTable,
     RevisionedTable upstreamTable) {}
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -23,6 +24,7 @@
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageOutcome;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.ZoneEvacuations;
 import org.gradeledge.peer.MessageFormat;
 import org.gradeledge.peer.MessageFormats;
 import org.gradeledge.selection.LoadShare;
@@ -194,7 +196,8 @@
         texts(random),
         shares,
         numbers,
-        Map.of("encode", List.of(number(random))));
+        Map.of("encode", List.of(number(random))),
+        new ZoneEvacuations(number(random), Set.of(text(random))));
   }
 
   private static long number(Random random) {
