A cold upstream gets an even share of requests from each box

Cause: an upstream that starts or comes back from an evacuation is the least loaded of all, so every box chooses it; it bears 6.7 requests a second where a warm one takes more. Change: the configuration's limit and the rows' remaining time are read; each box holds a token bucket for each cold upstream, level random at first, filled with a quarter of the limit divided by the most boxes it ever heard; nothing in its first three seconds, when it does not know the others. Upstreams of a zone that is taken back count as just started. Stage calls are not limited: with one slot a call of 200 ms or more stays under the bound by itself.

--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamListeners.java
@@ -0,0 +1,47 @@
+package org.gradeledge.discovery;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Who hears of changes among the upstreams. Confined to the event loop. */
+final class UpstreamListeners {
+
+  private final List<Consumer<UpstreamRecord>> ended = new ArrayList<>();
+  private final List<Consumer<UpstreamRecord>> cold = new ArrayList<>();
+  private final List<Consumer<Set<String>>> restored = new ArrayList<>();
+  private final List<Runnable> evacuated = new ArrayList<>();
+
+  void onEnd(Consumer<UpstreamRecord> listener) {
+    ended.add(listener);
+  }
+
+  void onCold(Consumer<UpstreamRecord> listener) {
+    cold.add(listener);
+  }
+
+  void onRestored(Consumer<Set<String>> listener) {
+    restored.add(listener);
+  }
+
+  void onEvacuated(Runnable listener) {
+    evacuated.add(listener);
+  }
+
+  void tellEnd(UpstreamRecord upstream) {
+    ended.forEach(listener -> listener.accept(upstream));
+  }
+
+  void tellCold(UpstreamRecord upstream) {
+    cold.forEach(listener -> listener.accept(upstream));
+  }
+
+  /** Tells of zones that take new work again before it tells that there are other zones now. */
+  void tellZones(Set<String> zonesRestored) {
+    if (!zonesRestored.isEmpty()) {
+      restored.forEach(listener -> listener.accept(zonesRestored));
+    }
+    evacuated.forEach(Runnable::run);
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
@@ -12,10 +12,24 @@
  * @param zone availability zone
  * @param slots requests that it works on at once
  * @param leaving whether it takes no new work
+ * @param coldMillis how much longer it is cold, as it last told; no part of what makes two equal
  * @since 0.2
  */
 public record UpstreamRecord(
-    String id, String service, String host, int port, String zone, int slots, boolean leaving) {
+    String id,
+    String service,
+    String host,
+    int port,
+    String zone,
+    int slots,
+    boolean leaving,
+    long coldMillis) {
+
+  /** Creates one that is not cold. */
+  public UpstreamRecord(
+      String id, String service, String host, int port, String zone, int slots, boolean leaving) {
+    this(id, service, host, port, zone, slots, leaving, 0);
+  }
 
   /** Returns host and port. */
   public String address() {
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gradeledge.event.EventLog;
+import org.jspecify.annotations.Nullable;
 
 /**
  * All upstreams that are known to the box. An upstream that has once been leaving takes no new work
@@ -25,14 +26,12 @@
   private static final int KEPT_LEAVING = 4096;
 
   private final EventLog events;
-  private final List<Consumer<UpstreamRecord>> leavingListeners = new ArrayList<>();
+  private final UpstreamListeners listeners = new UpstreamListeners();
   private final Map<String, UpstreamRecord> byId = new HashMap<>();
   private final Map<String, List<UpstreamRecord>> usable = new HashMap<>();
   private final Map<String, UpstreamRecord> byAddress = new HashMap<>();
   private final Set<String> left = new HashSet<>();
   private final Set<String> lapsed = new HashSet<>();
-  private final List<Consumer<Set<String>>> restoredListeners = new ArrayList<>();
-  private final List<Runnable> evacuatedListeners = new ArrayList<>();
   private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
   private boolean sourceAway;
   private long revision = -1;
@@ -45,17 +44,22 @@
 
   /** Tells a listener of each upstream that takes no new work any more. */
   public void onEnd(Consumer<UpstreamRecord> listener) {
-    leavingListeners.add(listener);
+    listeners.onEnd(listener);
   }
 
   /** Tells a listener whenever further zones take no new work. */
   public void onEvacuated(Runnable listener) {
-    evacuatedListeners.add(listener);
+    listeners.onEvacuated(listener);
   }
 
   /** Tells a listener of zones that take new work again. */
   public void onRestored(Consumer<Set<String>> listener) {
-    restoredListeners.add(listener);
+    listeners.onRestored(listener);
+  }
+
+  /** Tells a listener of each report that an upstream is cold. */
+  public void onCold(Consumer<UpstreamRecord> listener) {
+    listeners.onCold(listener);
   }
 
   /** Returns the zones that take no new work. */
@@ -82,10 +86,7 @@
     logEvacuations(before);
     Set<String> restored = new HashSet<>(before);
     restored.removeAll(told.zones());
-    if (!restored.isEmpty()) {
-      restoredListeners.forEach(listener -> listener.accept(restored));
-    }
-    evacuatedListeners.forEach(Runnable::run);
+    listeners.tellZones(restored);
     return true;
   }
 
@@ -113,6 +114,11 @@
     return byId.values();
   }
 
+  /** Returns the upstreams of some zones. */
+  public List<UpstreamRecord> inZones(Set<String> zones) {
+    return byId.values().stream().filter(upstream -> zones.contains(upstream.zone())).toList();
+  }
+
   /** Returns the upstreams that the list names now, without those whose entry may have lapsed. */
   public Collection<UpstreamRecord> listed() {
     return byId.values().stream().filter(upstream -> !lapsed.contains(upstream.id())).toList();
@@ -194,9 +200,12 @@
     }
     lapsed.remove(upstream.id());
     byId.put(upstream.id(), upstream);
-    if (!upstream.equals(before)) {
+    if (!upstream.equals(before) || isNewlyCold(upstream, before)) {
       changedAt = revision;
     }
+    if (upstream.coldMillis() > 0) {
+      listeners.tellCold(upstream);
+    }
     if (before == null) {
       log("upstream-listed", upstream);
     }
@@ -206,6 +215,10 @@
     }
   }
 
+  private static boolean isNewlyCold(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
+    return upstream.coldMillis() > 0 && (before == null || before.coldMillis() == 0);
+  }
+
   private void remove(String id) {
     UpstreamRecord known = byId.get(id);
     if (sourceAway && known != null && !known.leaving()) {
@@ -234,7 +247,7 @@
 
   private void end(String what, UpstreamRecord upstream) {
     log(what, upstream);
-    leavingListeners.forEach(listener -> listener.accept(upstream));
+    listeners.tellEnd(upstream);
   }
 
   private void rememberLeft(String id) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
@@ -11,7 +11,7 @@
 final class UpstreamListFormat implements MessageFormat<UpstreamList> {
 
   private static final int FIELDS = 2;
-  private static final int RECORD_FIELDS = 7;
+  private static final int RECORD_FIELDS = 8;
   private static final String REVISION = "revision";
   private static final String UPSTREAMS = "upstreams";
   private static final String ID = "id";
@@ -21,6 +21,7 @@
   private static final String ZONE = "zone";
   private static final String SLOTS = "slots";
   private static final String LEAVING = "leaving";
+  private static final String COLD_MILLIS = "coldMillis";
 
   @Override
   public void write(MessagePacker packer, UpstreamList list) throws IOException {
@@ -41,6 +42,7 @@
     packer.packString(ZONE).packString(upstream.zone());
     packer.packString(SLOTS).packInt(upstream.slots());
     packer.packString(LEAVING).packBoolean(upstream.leaving());
+    packer.packString(COLD_MILLIS).packLong(upstream.coldMillis());
   }
 
   @Override
@@ -59,6 +61,7 @@
         fields.integer(PORT),
         fields.text(ZONE),
         fields.integer(SLOTS),
-        fields.flag(LEAVING));
+        fields.flag(LEAVING),
+        fields.numberOr(COLD_MILLIS, 0));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -26,6 +26,7 @@
 import org.gradeledge.relay.RelayServer;
 import org.gradeledge.relay.RelayServices;
 import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.ColdUpstreams;
 import org.gradeledge.selection.LeastLoadedChooser;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.PrefixAffinityChooser;
@@ -84,6 +85,7 @@
             settings.retryAllowance(),
             settings.retryWindow(),
             this::boxes);
+    ColdUpstreams cold = newColdUpstreams(clock);
     PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit);
     upstreams.onEnd(caller::forget);
     upstreams.onEnd(board::forget);
@@ -106,6 +108,7 @@
             board,
             new PrefixAffinityChooser(
                 board, new LeastLoadedChooser(board, new Random()), this::memoryTokens),
+            cold,
             budget,
             caller,
             adapters.relay(),
@@ -117,6 +120,19 @@
     this.stop = new PlannedStop(settings.grace(), server, handler, mesh, loop, events);
   }
 
+  private ColdUpstreams newColdUpstreams(MonotonicClock clock) {
+    ColdUpstreams cold =
+        new ColdUpstreams(
+            clock,
+            new Random(),
+            this::boxes,
+            service -> service(service).flatMap(ServiceDefinition::coldStart));
+    upstreams.onCold(cold::told);
+    upstreams.onRestored(zones -> cold.restored(upstreams.inZones(zones)));
+    upstreams.onEnd(cold::forget);
+    return cold;
+  }
+
   private BoxMesh newMesh(LoadBoard board, MonotonicClock clock) {
     PeerTransport transport =
         new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops));
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/MessageFields.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/MessageFields.java
@@ -34,6 +34,11 @@
     return required(name, Long.class);
   }
 
+  /** Returns a number, or another one where the field is missing, as in messages of older boxes. */
+  public long numberOr(String name, long missing) {
+    return values.containsKey(name) ? number(name) : missing;
+  }
+
   /** Returns a number of 32 bits. */
   public int integer(String name) {
     long number = number(name);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
@@ -7,6 +7,7 @@
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.ColdUpstreams;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.UpstreamChooser;
 import org.gradeledge.time.MonotonicClock;
@@ -21,6 +22,7 @@
  * @param upstreams upstreams that are known
  * @param board their load and health
  * @param chooser chooses among them
+ * @param cold limits what is sent to those that are cold
  * @param budget what may be sent again
  * @param caller sends requests to them
  * @param protocol how requests look on the wire
@@ -37,6 +39,7 @@
     UpstreamRegistry upstreams,
     LoadBoard board,
     UpstreamChooser chooser,
+    ColdUpstreams cold,
     RetryBudget budget,
     UpstreamCaller caller,
     RelayProtocol protocol,
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -50,9 +50,11 @@
     List<UpstreamRecord> left =
         services.upstreams().usable(service).stream()
             .filter(each -> !tried.contains(each.id()))
+            .filter(services.cold()::admits)
             .toList();
     Optional<UpstreamRecord> chosen = services.chooser().choose(left, demand());
     chosen.ifPresent(upstream -> tried.add(upstream.id()));
+    chosen.ifPresent(services.cold()::sent);
     return chosen;
   }
 
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/ColdUpstreams.java
@@ -0,0 +1,137 @@
+package org.gradeledge.selection;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.gradeledge.deployment.ColdStart;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.time.MonotonicClock;
+
+/**
+ * Keeps boxes from overrunning an upstream that is cold. It is the least loaded of all, so that
+ * each box would choose it at once; instead each takes an even share of what the upstream bears,
+ * without asking anybody: a token bucket that holds one request and starts at a random level, so
+ * that the boxes' first requests are spread over the time that a share takes.
+ *
+ * <p>A box counts as many others as it has ever heard, so that a part that is cut off does not take
+ * the whole for itself, and sends nothing to a cold upstream before it has had the time to hear
+ * them. Confined to the event loop.
+ *
+ * @since 0.3
+ */
+public final class ColdUpstreams {
+
+  /**
+   * Part of what a cold upstream bears that the boxes take together. Requests of many boxes that do
+   * not know of each other come as in a Poisson process, and two halves that do not hear each other
+   * take twice as much: with a mean of 3.4 in a second 16 or more, which a limit of 6.7 a second
+   * with the usual slack refuses, come once in a million; with twice that mean once in 600.
+   */
+  private static final double PART_USED = 0.25;
+
+  /** By then a box that has started hears the others. */
+  private static final Duration HEARING = Duration.ofSeconds(3);
+
+  private static final double WHOLE = 1;
+
+  /** What one box may still send to one cold upstream. */
+  private static final class Allowance {
+
+    private long endNanos;
+    private long lookedNanos;
+    private double level;
+
+    Allowance(long nowNanos, double level) {
+      this.endNanos = nowNanos;
+      this.lookedNanos = nowNanos;
+      this.level = level;
+    }
+  }
+
+  private final MonotonicClock clock;
+  private final RandomGenerator random;
+  private final IntSupplier boxes;
+  private final Function<String, Optional<ColdStart>> limits;
+  private final Map<String, Allowance> cold = new HashMap<>();
+  private final long startNanos;
+  private int mostBoxes = 1;
+
+  /**
+   * Creates it without any cold upstream.
+   *
+   * @param boxes how many boxes are heard, this one included
+   * @param limits what an upstream of a service bears
+   */
+  public ColdUpstreams(
+      MonotonicClock clock,
+      RandomGenerator random,
+      IntSupplier boxes,
+      Function<String, Optional<ColdStart>> limits) {
+    this.clock = clock;
+    this.random = random;
+    this.boxes = boxes;
+    this.limits = limits;
+    this.startNanos = clock.nanos();
+  }
+
+  /** Notes that an upstream said for how long it is cold. */
+  public void told(UpstreamRecord upstream) {
+    extend(upstream.id(), Duration.ofMillis(upstream.coldMillis()));
+  }
+
+  /** Takes upstreams that were out of use as if they had just started. */
+  public void restored(Collection<UpstreamRecord> upstreams) {
+    upstreams.forEach(
+        upstream ->
+            limits
+                .apply(upstream.service())
+                .ifPresent(limit -> extend(upstream.id(), limit.lasts())));
+  }
+
+  /** Forgets an upstream that is gone. */
+  public void forget(UpstreamRecord upstream) {
+    cold.remove(upstream.id());
+  }
+
+  private void extend(String id, Duration lasts) {
+    long now = clock.nanos();
+    Allowance allowance = cold.computeIfAbsent(id, key -> new Allowance(now, random.nextDouble()));
+    if (now + lasts.toNanos() - allowance.endNanos > 0) {
+      allowance.endNanos = now + lasts.toNanos();
+    }
+  }
+
+  /** Returns whether this box may send one more request to an upstream now. */
+  public boolean admits(UpstreamRecord upstream) {
+    Allowance allowance = cold.get(upstream.id());
+    if (allowance == null) {
+      return true;
+    }
+    long now = clock.nanos();
+    Optional<ColdStart> limit = limits.apply(upstream.service());
+    if (limit.isEmpty() || now - allowance.endNanos >= 0) {
+      cold.remove(upstream.id());
+      return true;
+    }
+    fill(allowance, limit.get(), now);
+    return allowance.level >= WHOLE && now - startNanos >= HEARING.toNanos();
+  }
+
+  private void fill(Allowance allowance, ColdStart limit, long now) {
+    mostBoxes = Math.max(mostBoxes, boxes.getAsInt());
+    double share = limit.requestsPerSecond() * PART_USED / mostBoxes;
+    double seconds = (now - allowance.lookedNanos) / (double) Duration.ofSeconds(1).toNanos();
+    allowance.level = Math.min(WHOLE, allowance.level + share * seconds);
+    allowance.lookedNanos = now;
+  }
+
+  /** Notes that a request goes to an upstream. */
+  public void sent(UpstreamRecord upstream) {
+    Optional.ofNullable(cold.get(upstream.id())).ifPresent(allowance -> allowance.level -= WHOLE);
+  }
+}
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/ManyBoxesTests.java
@@ -10,12 +10,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.discovery.ZoneEvacuations;
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.peer.PeerNetwork;
@@ -125,6 +127,19 @@
     assertThat(reads.get()).isLessThan(BOXES / 2);
   }
 
+  @Test
+  void anEvacuationThatOneBoxReadsReachesAll() throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      startBox();
+    }
+    await(() -> meshes.stream().allMatch(BoxMesh::hearsDigests));
+    ZoneEvacuations ordered = new ZoneEvacuations(REVISION, Set.of("zone-0"));
+
+    onLoop(() -> registries.get(BOXES - 1).evacuate(ordered));
+
+    await(() -> registries.stream().allMatch(each -> each.evacuations().equals(ordered)));
+  }
+
   private boolean readNewsOnAsking(AtomicInteger reads) {
     for (int box = 0; box < BOXES; box++) {
       int reader = box;
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -100,7 +100,8 @@
               random.nextInt(65_536),
               text(random),
               random.nextInt(200),
-              random.nextBoolean()));
+              random.nextBoolean(),
+              random.nextInt(9_000)));
     }
     assertSame(
         new UpstreamListFormat(), new UpstreamList(number(random), upstreams), UpstreamList.class);
