--- a/gradeledge-core/src/main/java/org/gradeledge/peer/PeerSecret.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/PeerSecret.java
@@ -2,11 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.security.SecureRandom;
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 
 /**
  * The secret that all boxes of a deployment share, proved by HMAC-SHA256 (RFC 2104) over the other
@@ -16,15 +13,14 @@
  */
 public final class PeerSecret {
 
-  private static final String ALGORITHM = "HmacSHA256";
   private static final int NONCE_BYTES = 16;
 
-  private final SecretKeySpec key;
+  private final KeyedHash hash;
   private final SecureRandom random = new SecureRandom();
 
   /** Creates the secret from its text. */
   public PeerSecret(String text) {
-    this.key = new SecretKeySpec(text.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+    this.hash = new KeyedHash(text);
   }
 
   byte[] newNonce() {
@@ -35,17 +31,11 @@
 
   /** Returns the proof that a side owes: over the nonce it was sent, its name and its direction. */
   byte[] proof(byte[] nonce, PeerHello prover, boolean dialer) {
-    try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(key);
-      mac.update(nonce);
-      mac.update((byte) (dialer ? 1 : 0));
-      mac.update(ByteBuffer.allocate(Long.BYTES).putLong(0, prover.incarnation()).array());
-      mac.update(prover.boxId().getBytes(StandardCharsets.UTF_8));
-      return mac.doFinal();
-    } catch (GeneralSecurityException e) {
-      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
-    }
+    return hash.of(
+        nonce,
+        new byte[] {(byte) (dialer ? 1 : 0)},
+        ByteBuffer.allocate(Long.BYTES).putLong(0, prover.incarnation()).array(),
+        prover.boxId().getBytes(StandardCharsets.UTF_8));
   }
 
   boolean accepts(byte[] given, byte[] nonce, PeerHello prover, boolean dialer) {
