No formatter runs for a stage or a refusal

Cause, by reading: a text formatter ran for each stage of each request, and for each refusal. Change: texts are joined; Retry-After keeps three decimals instead of two.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.util.List;
-import java.util.Locale;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -23,7 +22,7 @@
           HttpHeaderNames.TE,
           HttpHeaderNames.UPGRADE,
           HttpHeaderNames.CONTENT_LENGTH);
-  private static final double MILLIS_IN_SECOND = 1000.0;
+  private static final long MILLIS_IN_SECOND = 1_000;
 
   private final Sinks.One<RelayAnswer> answer = Sinks.one();
   private final Sinks.Many<ByteBuf> parts = Sinks.many().unicast().onBackpressureBuffer();
@@ -37,13 +36,18 @@
   public void refuse(Refusal refusal, long retryAfterMillis) {
     HttpHeaders headers = new DefaultHttpHeaders();
     if (refusal.notRun()) {
-      double seconds = retryAfterMillis / MILLIS_IN_SECOND;
-      headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+      headers.set(HttpHeaderNames.RETRY_AFTER, seconds(Math.max(0, retryAfterMillis)));
     }
     headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
     answer.tryEmitValue(new RelayAnswer(refusal.status(), headers, Flux.empty(), false));
   }
 
+  /** Returns seconds with all three decimals, put together by hand: a formatter is slow to load. */
+  static String seconds(long millis) {
+    String decimals = String.valueOf(MILLIS_IN_SECOND + millis % MILLIS_IN_SECOND).substring(1);
+    return millis / MILLIS_IN_SECOND + "." + decimals;
+  }
+
   @Override
   public void answer(int status, HttpHeaders headers, ByteBuf body) {
     HttpHeaders passedOn = endToEnd(headers);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StageTimeline.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StageTimeline.java
@@ -34,7 +34,7 @@
     long begun = startedAtMillis.getOrDefault(stage, 0L);
     String outcome = result.outcome() == StageOutcome.MADE ? "" : " " + result.outcome();
     long took = clock.elapsedMillis() - begun;
-    ended.put(stage, "%d@%d:%d/%d%s".formatted(stage, begun, result.waitedMillis(), took, outcome));
+    ended.put(stage, stage + "@" + begun + ":" + result.waitedMillis() + "/" + took + outcome);
   }
 
   /** Returns the expected time to the first event in milliseconds, -1 where none was worked out. */
