--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -1,6 +1,5 @@
 package org.gradeledge.discovery;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -28,8 +27,7 @@
   private final EventLog events;
   private final UpstreamListeners listeners = new UpstreamListeners();
   private final Map<String, UpstreamRecord> byId = new HashMap<>();
-  private final Map<String, List<UpstreamRecord>> usable = new HashMap<>();
-  private final Map<String, UpstreamRecord> byAddress = new HashMap<>();
+  private final UpstreamIndex index = new UpstreamIndex();
   private final Set<String> left = new HashSet<>();
   private final Set<String> lapsed = new HashSet<>();
   private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
@@ -126,7 +124,7 @@
 
   /** Returns the upstreams of a service that take new work. */
   public List<UpstreamRecord> usable(String service) {
-    return usable.getOrDefault(service, List.of());
+    return index.usable(service);
   }
 
   /** Returns whether new work may still be sent to an upstream. */
@@ -141,7 +139,7 @@
 
   /** Returns the upstream that has an address. */
   public Optional<UpstreamRecord> atAddress(String address) {
-    return Optional.ofNullable(byAddress.get(address));
+    return index.atAddress(address);
   }
 
   /** Takes a whole list on where it is not older than what is held. */
@@ -268,13 +266,6 @@
   }
 
   private void rebuild() {
-    usable.clear();
-    byAddress.clear();
-    byId.values().forEach(upstream -> byAddress.put(upstream.address(), upstream));
-    byId.values().stream()
-        .filter(this::takesNewWork)
-        .forEach(
-            upstream ->
-                usable.computeIfAbsent(upstream.service(), s -> new ArrayList<>()).add(upstream));
+    index.rebuild(byId.values(), this::takesNewWork);
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/UpstreamNewsTests.java
@@ -0,0 +1,126 @@
+package org.gradeledge.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLogs;
+import org.gradeledge.metrics.BoxMetrics;
+import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.peer.PeerSecret;
+import org.gradeledge.peer.PeerTransport;
+import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.netty.resources.LoopResources;
+
+/** Who reads the list of upstreams when others tell of news, in virtual time. */
+class UpstreamNewsTests {
+
+  private static final String SELF = "127.0.0.1:1";
+  private static final String ZONE = "zone";
+  private static final int BOXES = 18;
+  private static final int STRONG = 100;
+  private static final int WEAK = 1;
+  private static final long REVISION = 7;
+
+  /** As long as a relay has to pass the news on. */
+  private static final long RELAY_MILLIS = 500;
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final LoopResources loops = LoopResources.create("news", 1, true);
+  private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
+  private final AtomicInteger reads = new AtomicInteger();
+
+  @AfterEach
+  void stop() {
+    channel.finishAndReleaseAll();
+    loops.dispose();
+  }
+
+  @Test
+  void aBoxThatIsNoRelayReadsOnlyOnceARelayHadItsTime() {
+    UpstreamNews news = newsAt(WEAK);
+
+    news.heardOf("127.0.0.1:2", REVISION);
+    advance(RELAY_MILLIS - 1);
+    assertThat(reads).hasValue(0);
+
+    advance(1);
+    assertThat(reads).hasValue(1);
+  }
+
+  @Test
+  void aBoxThatLearnsTheNewsMeanwhileNeverReads() {
+    UpstreamNews news = newsAt(WEAK);
+
+    for (int box = 2; box < BOXES; box++) {
+      news.heardOf("127.0.0.1:" + box, REVISION);
+    }
+    learn();
+    advance(RELAY_MILLIS);
+
+    assertThat(reads).hasValue(0);
+  }
+
+  @Test
+  void aRelayReadsAtOnce() {
+    newsAt(STRONG).heardOf("127.0.0.1:2", REVISION);
+
+    assertThat(reads).hasValue(1);
+  }
+
+  @Test
+  void whatIsNoNewsIsNotRead() {
+    learn();
+
+    newsAt(STRONG).heardOf("127.0.0.1:2", REVISION);
+    advance(RELAY_MILLIS);
+
+    assertThat(reads).hasValue(0);
+  }
+
+  /** All other boxes are of middle strength. */
+  private UpstreamNews newsAt(int strength) {
+    MonotonicClock clock = () -> 0;
+    PeerBoard peers = new PeerBoard(SELF, ZONE, strength, clock, EventLogs.silent());
+    for (int box = 2; box <= BOXES; box++) {
+      peers.heard("127.0.0.1:" + box, ZONE, false, STRONG / 2, 0);
+    }
+    PeerNetwork network =
+        new PeerNetwork(
+            SELF,
+            new PeerSecret("a secret of sixteen bytes"),
+            new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops)),
+            new BoxMetrics());
+    HeartbeatRoutes routes = new HeartbeatRoutes(SELF, ZONE, peers, peers::alive, box -> false);
+    DeploymentRegistry deployments =
+        new DeploymentRegistry(
+            document -> {
+              throw new IllegalArgumentException("none is read in this test");
+            },
+            EventLogs.silent());
+    DocumentExchange documents =
+        new DocumentExchange(
+            new MeshLinks(network, clock), channel.eventLoop(), deployments, upstreams);
+    UpstreamNews news = new UpstreamNews(routes, upstreams, documents, channel.eventLoop());
+    news.onRead(reads::incrementAndGet);
+    return news;
+  }
+
+  private void learn() {
+    upstreams.replaceAll(
+        REVISION, List.of(new UpstreamRecord("id", "service", "127.0.0.1", 1, ZONE, 1, false)));
+  }
+
+  private void advance(long millis) {
+    channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
+}
