Heartbeats of older boxes are read; a message nested without end is refused

Found on reading the change again. A box of an earlier version sends heartbeats without evacuations: they were refused, so that a deployment that is replaced box by box would have fallen in two. A greeting, which is read before it is proved, could be nested until the stack ends. Both tests failed first.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -14,6 +14,10 @@
 final class HeartbeatFormat implements MessageFormat<Heartbeat> {
 
   private static final int FIELDS = 11;
+
+  /** Fields that older boxes send too; they know of no evacuations. */
+  private static final int FIRST_FIELDS = 10;
+
   private static final int SHARE_FIELDS = 2;
   private static final int EVACUATION_FIELDS = 2;
 
@@ -65,7 +69,7 @@
 
   @Override
   public Heartbeat read(MessageReader reader) throws IOException {
-    int more = reader.beginRecord(FIELDS);
+    int more = reader.beginRecord(FIRST_FIELDS);
     Heartbeat beat =
         new Heartbeat(
             reader.text(),
@@ -78,8 +82,8 @@
             reader.map(HeartbeatFormat::readShare),
             reader.map(HeartbeatFormat::readNumbers),
             reader.map(HeartbeatFormat::readNumbers),
-            readEvacuations(reader));
-    reader.skip(more);
+            more > 0 ? readEvacuations(reader) : ZoneEvacuations.UNKNOWN);
+    reader.skip(Math.max(0, more - 1));
     return beat;
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/MessageReader.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/MessageReader.java
@@ -28,8 +28,12 @@
     T read(MessageReader reader) throws IOException;
   }
 
+  /** Deeper than any message is; bounds the depth of calls. */
+  private static final int DEEPEST = 16;
+
   private final MessageUnpacker unpacker;
   private final int length;
+  private int depth;
 
   MessageReader(byte[] bytes) {
     this.unpacker = MessagePack.newDefaultUnpacker(bytes);
@@ -142,15 +146,25 @@
       case BINARY:
         return bytes();
       case ARRAY:
-        return plainList();
+        return nested(MessageReader::plainList);
       case MAP:
-        return fields();
+        return nested(MessageReader::fields);
       default:
         skip(1);
         return null;
     }
   }
 
+  private <T> T nested(ElementReader<T> value) throws IOException {
+    if (depth == DEEPEST) {
+      throw new IOException("a message must not be nested deeper than " + DEEPEST);
+    }
+    depth++;
+    T read = value.read(this);
+    depth--;
+    return read;
+  }
+
   private List<@Nullable Object> plainList() throws IOException {
     int size = unpacker.unpackArrayHeader();
     List<@Nullable Object> list = new ArrayList<>(checked(size));
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -34,6 +34,10 @@
 /** The formats write the same bytes as binding by reflection, and read each other's. */
 class MeshFormatsTests {
 
+  private static final byte MAP_OF_ONE = (byte) 0x81;
+  private static final byte ARRAY_OF_ONE = (byte) 0x91;
+  private static final byte TEXT_OF_ONE = (byte) 0xa1;
+
   private static final ObjectMapper BOUND =
       new ObjectMapper(new MessagePackFactory())
           .registerModule(new Jdk8Module())
@@ -172,6 +176,30 @@
         .isEqualTo(new StageCancel("encode", "r1"));
   }
 
+  @Test
+  void heartbeatsOfOlderBoxesAreRead() throws IOException {
+    Heartbeat beat = Heartbeats.of("zone", 7);
+    byte[] bytes = MessageFormats.write(new HeartbeatFormat(), beat);
+    int evacuations = 3;
+    byte[] older = Arrays.copyOf(bytes, bytes.length - evacuations);
+    older[0]--;
+
+    assertThat(MessageFormats.read(new HeartbeatFormat(), older)).isEqualTo(beat);
+  }
+
+  @Test
+  void whatIsNestedWithoutEndIsRefused() {
+    byte[] bytes = new byte[100_000];
+    Arrays.fill(bytes, ARRAY_OF_ONE);
+    bytes[0] = MAP_OF_ONE;
+    bytes[1] = TEXT_OF_ONE;
+    bytes[2] = 'x';
+
+    assertThatThrownBy(() -> MessageFormats.read(new StageFreeFormat(), bytes))
+        .isInstanceOf(IOException.class)
+        .hasMessageContaining("nested");
+  }
+
   private static <T> void assertSame(MessageFormat<T> format, T message, Class<T> type)
       throws IOException {
     byte[] bytes = MessageFormats.write(format, message);
