--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -191,12 +191,13 @@
 
   /**
    * Notes that an upstream closes connections as one that leaves does. Others do so at times; one
-   * whose entry has vanished as well is taken out of use.
+   * whose entry has vanished as well is out of use until it renews that.
    */
   public void closesConnections(UpstreamRecord upstream) {
-    if (lapsed.contains(upstream.id()) && isUsable(upstream.id())) {
+    if (lapsed.remove(upstream.id())) {
       log("upstream-closing", upstream);
-      markGone(upstream.id());
+      end(upstream.id());
+      conclude();
     }
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
@@ -77,15 +77,17 @@
   }
 
   @Test
-  void oneThatClosesConnectionsIsOutOfUseWhereItsEntryHasVanishedTooAndOnlyThere() {
+  void oneThatClosesConnectionsAndWhoseEntryHasVanishedIsOutOfUseUntilItRenewsThat() {
     registry.replaceAll(1, List.of(upstream("a", false), upstream("b", false)));
     registry.distrustRemovals();
     registry.update(2, List.of(), List.of("a"));
 
     registry.closesConnections(upstream("a", false));
     registry.closesConnections(upstream("b", false));
-
     assertThat(registry.usable("service")).extracting(UpstreamRecord::id).containsExactly("b");
+
+    registry.update(3, List.of(upstream("a", false)), List.of());
+    assertThat(registry.isUsable("a")).isTrue();
   }
 
   @Test
