--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -35,7 +35,8 @@
   private BatchCoordinator(Builder builder) {
     this.loop = builder.loop;
     this.release =
-        new ResultRelease(loop, builder.caller, builder.upstreams, builder.protocol, this::freed);
+        new ResultRelease(
+            loop, builder.caller, builder.upstreams, builder.protocol, this::makerOf, this::freed);
     this.services =
         new BatchServices(
             builder.box,
@@ -49,7 +50,9 @@
             builder.toCome,
             builder.limits,
             this::free);
-    builder.upstreams.onEnd(upstream -> queue(upstream.service()).dispatch());
+    builder.upstreams.onEnd(
+        upstream ->
+            Optional.ofNullable(queues.get(upstream.service())).ifPresent(BatchQueue::dispatch));
     builder.upstreams.onZonesChanged(() -> queues.values().forEach(BatchQueue::dispatch));
   }
 
@@ -73,6 +76,11 @@
     return services.zoneOf(handle);
   }
 
+  /** Returns which start of an upstream made a result, if that was called from here. */
+  private Optional<String> makerOf(String handle) {
+    return queues.values().stream().flatMap(queue -> queue.makerOf(handle).stream()).findFirst();
+  }
+
   private void freed(Collection<String> handles) {
     queues.values().forEach(queue -> queue.freed(handles));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -76,6 +76,11 @@
     waiting.cancel(requestId);
   }
 
+  /** Returns which start of an upstream holds a result, if it is known here. */
+  Optional<String> makerOf(String handle) {
+    return held.makerOf(handle);
+  }
+
   void freed(Collection<String> handles) {
     held.remove(handles);
     dispatch();
@@ -230,7 +235,7 @@
       case LATE -> end(piece.group(), StageOutcome.LATE);
       case GONE -> end(piece.group(), StageOutcome.GONE);
       case NO_ROOM -> {
-        held.full(upstream.id());
+        held.full(upstream.start());
         tryAgain(List.of(piece), true, "no room", upstream);
       }
       case ERROR -> tryAgain(List.of(piece), true, "error", upstream);
@@ -244,7 +249,7 @@
       services.free(List.of(handle));
       return;
     }
-    held.add(handle, upstream.id(), group.group().resultBytes(), limits.resultMillis());
+    held.add(handle, upstream.start(), group.group().resultBytes(), limits.resultMillis());
     group.made(piece.index(), handle);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -27,7 +27,7 @@
   private final String service;
   private final BatchServices services;
   private final HeldResults held;
-  private final Map<String, BatchUpstream> byId = new HashMap<>();
+  private final Map<String, BatchUpstream> byStart = new HashMap<>();
 
   BatchUpstreams(String service, BatchServices services, HeldResults held) {
     this.service = service;
@@ -82,7 +82,7 @@
 
   /** Returns the room for results that an upstream has left. */
   long roomBytes(BatchUpstream target, BatchLimits limits) {
-    return held.isFull(target.upstream().id())
+    return held.isFull(target.upstream().start())
         ? 0
         : (long) (limits.roomBytes() * ROOM_USED) - occupiedBytes(target);
   }
@@ -111,15 +111,15 @@
   }
 
   private long occupiedBytes(BatchUpstream target) {
-    return held.bytesAt(target.upstream().id())
+    return held.bytesAt(target.upstream().start())
         + target.reservedBytes()
         + services.board().memoryAtPeers(target.upstream());
   }
 
   private List<BatchUpstream> usable() {
-    byId.keySet().removeIf(id -> !services.upstreams().isUsable(id));
+    byStart.values().removeIf(each -> !services.upstreams().isUsable(each.upstream()));
     return services.board().preferred(services.upstreams().usable(service)).stream()
-        .map(each -> byId.computeIfAbsent(each.id(), id -> new BatchUpstream(each)))
+        .map(each -> byStart.computeIfAbsent(each.start(), start -> new BatchUpstream(each)))
         .toList();
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/HeldResults.java
@@ -20,6 +20,11 @@
   private static final long LONGEST_FULL_MILLIS = 1_000;
   private static final long NANOS_OF_MILLI = 1_000_000;
 
+  /**
+   * A result.
+   *
+   * @param upstream the start of an upstream that holds it
+   */
   private record Held(String upstream, long bytes, long untilNanos) {}
 
   private record Full(long millis, long untilNanos) {}
@@ -63,6 +68,11 @@
     return said != null && said.untilNanos() - clock.nanos() > 0;
   }
 
+  /** Returns which start of an upstream holds a result. */
+  Optional<String> makerOf(String handle) {
+    return Optional.ofNullable(byHandle.get(handle)).map(Held::upstream);
+  }
+
   void remove(Collection<String> handles) {
     handles.stream()
         .flatMap(handle -> Optional.ofNullable(byHandle.remove(handle)).stream())
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
@@ -8,8 +8,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
 import org.gradeledge.connection.UpstreamCaller;
@@ -28,6 +30,7 @@
   private final UpstreamCaller caller;
   private final UpstreamRegistry upstreams;
   private final StageProtocol protocol;
+  private final Function<String, Optional<String>> makerOf;
   private final Consumer<Collection<String>> onReleased;
   private final Map<String, List<String>> byAddress = new HashMap<>();
 
@@ -36,11 +39,13 @@
       UpstreamCaller caller,
       UpstreamRegistry upstreams,
       StageProtocol protocol,
+      Function<String, Optional<String>> makerOf,
       Consumer<Collection<String>> onReleased) {
     this.loop = loop;
     this.caller = caller;
     this.upstreams = upstreams;
     this.protocol = protocol;
+    this.makerOf = makerOf;
     this.onReleased = onReleased;
   }
 
@@ -62,10 +67,20 @@
         .filter(upstream -> flushed.containsKey(upstream.address()))
         .filter(upstream -> !upstreams.isEvacuated(upstream))
         .toList()
-        .forEach(upstream -> call(upstream, flushed.get(upstream.address())));
+        .forEach(upstream -> call(upstream, heldBy(upstream, flushed.get(upstream.address()))));
+  }
+
+  /** A result is lost with the start of the upstream that made it: the next one holds nothing. */
+  private List<String> heldBy(UpstreamRecord upstream, List<String> handles) {
+    return handles.stream()
+        .filter(handle -> makerOf.apply(handle).map(upstream.start()::equals).orElse(true))
+        .toList();
   }
 
   private void call(UpstreamRecord upstream, List<String> handles) {
+    if (handles.isEmpty()) {
+      return;
+    }
     caller.call(upstream, protocol.encodeFree(upstream, handles), new Release(handles));
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -10,7 +10,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -34,6 +36,7 @@
   private final Bootstrap bootstrap;
   private final ToIntFunction<UpstreamRecord> connectionLimit;
   private final Map<String, UpstreamConnections> byUpstream = new HashMap<>();
+  private final Map<String, Set<UpstreamConnection>> openByStart = new HashMap<>();
   private Consumer<UpstreamRecord> closing = upstream -> {};
 
   /**
@@ -57,7 +60,7 @@
   public UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
     CallInProgress call = new CallInProgress(request, listener);
     UpstreamConnections connections =
-        byUpstream.computeIfAbsent(target.id(), id -> new UpstreamConnections());
+        byUpstream.computeIfAbsent(target.start(), start -> new UpstreamConnections());
     UpstreamConnection kept = connections.takeKept(request.reuse());
     if (kept != null) {
       loop.execute(() -> kept.start(call));
@@ -71,7 +74,7 @@
 
   @Override
   public void forget(UpstreamRecord target) {
-    UpstreamConnections connections = byUpstream.remove(target.id());
+    UpstreamConnections connections = byUpstream.remove(target.start());
     if (connections != null) {
       connections.closeKept();
     }
@@ -79,13 +82,20 @@
 
   @Override
   public void end(UpstreamRecord target) {
-    UpstreamConnections connections = byUpstream.remove(target.id());
+    UpstreamConnections connections = byUpstream.remove(target.start());
     if (connections != null) {
       connections.closeKept();
       connections.failDialling();
     }
   }
 
+  @Override
+  public void breakOff(UpstreamRecord target) {
+    end(target);
+    Set.copyOf(openByStart.getOrDefault(target.start(), Set.of()))
+        .forEach(UpstreamConnection::breakOff);
+  }
+
   /** Tells a listener of each answer after which an upstream closes its connection. */
   public void onClosing(Consumer<UpstreamRecord> listener) {
     this.closing = listener;
@@ -109,7 +119,15 @@
                 })
             .connect(target.host(), target.port());
     call.onCancel(() -> connecting.channel().close());
-    connecting.channel().closeFuture().addListener(closed -> connections.closed(connection));
+    openByStart.computeIfAbsent(target.start(), start -> new HashSet<>()).add(connection);
+    connecting
+        .channel()
+        .closeFuture()
+        .addListener(
+            closed -> {
+              connections.closed(connection);
+              forget(target, connection);
+            });
     connecting.addListener(
         done -> {
           connections.dialled(call);
@@ -117,6 +135,15 @@
         });
   }
 
+  private void forget(UpstreamRecord target, UpstreamConnection connection) {
+    openByStart.computeIfPresent(
+        target.start(),
+        (start, open) -> {
+          open.remove(connection);
+          return open.isEmpty() ? null : open;
+        });
+  }
+
   private static void connected(
       @Nullable Throwable cause, UpstreamConnection connection, CallInProgress call) {
     if (cause == null) {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
@@ -24,4 +24,10 @@
    * fail with {@link CallFailure#ENDED}; those that were sent go on.
    */
   void end(UpstreamRecord target);
+
+  /**
+   * Breaks off all calls to a start of an upstream, as another one has begun under its id: they are
+   * lost, and a connection whose other end is no more may stay silent.
+   */
+  void breakOff(UpstreamRecord target);
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -96,6 +96,11 @@
     }
   }
 
+  /** Closes the connection; a call under way on it has no answer to wait for. */
+  void breakOff() {
+    fail(CallFailure.BROKEN);
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext channel, HttpObject message) {
     CallInProgress current = call;
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/DepartedUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/DepartedUpstreams.java
@@ -1,27 +1,30 @@
 package org.gradeledge.discovery;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
- * Upstreams that have once said that they leave, or were seen to be gone: an older report must not
- * bring them back. The oldest are forgotten first. Confined to the event loop.
+ * Starts of upstreams that have once said that they leave, or were seen to be gone: an older report
+ * must not bring them back. A later start under the same id is another one. The oldest are
+ * forgotten first. Confined to the event loop.
  */
 final class DepartedUpstreams {
 
   /** Some hours of replacing a hundred upstreams every few minutes; about 400 kB. */
   private static final int KEPT = 4096;
 
-  private final Set<String> ids = new LinkedHashSet<>();
+  private final Map<String, Long> newestBirthById = new LinkedHashMap<>();
 
-  void remember(String id) {
-    ids.add(id);
-    if (ids.size() > KEPT) {
-      ids.remove(ids.iterator().next());
+  void remember(UpstreamRecord upstream) {
+    newestBirthById.merge(upstream.id(), upstream.born(), Math::max);
+    if (newestBirthById.size() > KEPT) {
+      newestBirthById.remove(newestBirthById.keySet().iterator().next());
     }
   }
 
-  boolean contains(String id) {
-    return ids.contains(id);
+  /** Returns whether a start has departed, or one after it. */
+  boolean contains(UpstreamRecord upstream) {
+    Long newest = newestBirthById.get(upstream.id());
+    return newest != null && upstream.born() <= newest;
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
@@ -0,0 +1,191 @@
+package org.gradeledge.discovery;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * By id the newest start of each upstream, and what a report about one changes. What has ended is
+ * gathered for whoever must be told once a change is over. Confined to the event loop.
+ */
+final class KnownUpstreams {
+
+  private final UpstreamChangeLog log;
+  private final Map<String, UpstreamRecord> byId = new HashMap<>();
+  private final DepartedUpstreams departed = new DepartedUpstreams();
+  private final Set<String> lapsed = new HashSet<>();
+  private final List<UpstreamRecord> ended = new ArrayList<>();
+  private final List<UpstreamRecord> replaced = new ArrayList<>();
+  private final List<UpstreamRecord> cold = new ArrayList<>();
+  private boolean sourceAway;
+  private boolean changed;
+  private long revision = -1;
+
+  KnownUpstreams(UpstreamChangeLog log) {
+    this.log = log;
+  }
+
+  /** Begins a change of the list; lines that are written from now on carry its revision. */
+  void begin(long newRevision) {
+    revision = newRevision;
+  }
+
+  Collection<UpstreamRecord> all() {
+    return byId.values();
+  }
+
+  boolean isLapsed(UpstreamRecord upstream) {
+    return lapsed.contains(upstream.id());
+  }
+
+  /** Returns what is known of this start of an upstream, if it is the newest one. */
+  Optional<UpstreamRecord> find(UpstreamRecord upstream) {
+    return Optional.ofNullable(byId.get(upstream.id()))
+        .filter(known -> known.born() == upstream.born());
+  }
+
+  /** Removes all but the named ones. */
+  void retain(Set<String> ids) {
+    byId.keySet().stream().filter(id -> !ids.contains(id)).toList().forEach(this::remove);
+  }
+
+  void put(UpstreamRecord upstream) {
+    UpstreamRecord before = byId.get(upstream.id());
+    boolean older = before != null && upstream.born() < before.born();
+    if (older || departed.contains(upstream) && !upstream.leaving()) {
+      return;
+    }
+    if (before != null && before.born() < upstream.born()) {
+      replace(before);
+      before = null;
+    }
+    take(upstream, before);
+  }
+
+  /** What was sent to the start before is lost with it, also where no connection says so. */
+  private void replace(UpstreamRecord before) {
+    write("upstream-replaced", before);
+    departed.remember(before);
+    byId.remove(before.id());
+    if (!before.leaving()) {
+      ended.add(before);
+    }
+    replaced.add(before);
+  }
+
+  private void take(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
+    lapsed.remove(upstream.id());
+    byId.put(upstream.id(), upstream);
+    changed |= !upstream.equals(before) || isNewlyCold(upstream, before);
+    if (upstream.coldMillis() > 0) {
+      cold.add(upstream);
+    }
+    if (before == null) {
+      write("upstream-listed", upstream);
+    }
+    if (upstream.leaving() && (before == null || !before.leaving())) {
+      departed.remember(upstream);
+      write("upstream-leaving", upstream);
+      ended.add(upstream);
+    }
+  }
+
+  private static boolean isNewlyCold(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
+    return upstream.coldMillis() > 0 && (before == null || before.coldMillis() == 0);
+  }
+
+  void remove(String id) {
+    UpstreamRecord known = byId.get(id);
+    if (sourceAway && known != null && !known.leaving()) {
+      lapse(known);
+    } else {
+      end(id);
+    }
+  }
+
+  private void lapse(UpstreamRecord upstream) {
+    if (lapsed.add(upstream.id())) {
+      changed = true;
+      write("upstream-lapsed", upstream);
+    }
+  }
+
+  /** Entries that vanish from now on may only have lapsed. */
+  void distrustRemovals() {
+    sourceAway = true;
+  }
+
+  /** What is missing now is gone. */
+  void trustRemovals() {
+    sourceAway = false;
+    List.copyOf(lapsed).forEach(this::end);
+  }
+
+  /** Ends a start for good, if it is the newest one. */
+  void depart(UpstreamRecord upstream) {
+    departed.remember(upstream);
+    endStart(upstream);
+  }
+
+  /** Ends a start whose entry has vanished, until it is listed again. */
+  void endIfLapsed(UpstreamRecord upstream) {
+    if (isLapsed(upstream) && find(upstream).isPresent()) {
+      write("upstream-closing", upstream);
+      endStart(upstream);
+    }
+  }
+
+  private void endStart(UpstreamRecord upstream) {
+    if (find(upstream).isPresent()) {
+      end(upstream.id());
+    }
+  }
+
+  private void end(String id) {
+    lapsed.remove(id);
+    UpstreamRecord before = byId.remove(id);
+    changed |= before != null;
+    if (before != null && !before.leaving()) {
+      write("upstream-gone", before);
+      ended.add(before);
+    }
+  }
+
+  private void write(String what, UpstreamRecord upstream) {
+    log.write(what, upstream, revision);
+  }
+
+  /** Returns whether the list has said something new since this was asked last. */
+  boolean takeChanged() {
+    boolean told = changed;
+    changed = false;
+    return told;
+  }
+
+  /** Returns what takes no new work any more since this was asked last. */
+  List<UpstreamRecord> takeEnded() {
+    return take(ended);
+  }
+
+  /** Returns the starts after which another has begun since this was asked last. */
+  List<UpstreamRecord> takeReplaced() {
+    return take(replaced);
+  }
+
+  /** Returns the reports that an upstream is cold since this was asked last. */
+  List<UpstreamRecord> takeCold() {
+    return take(cold);
+  }
+
+  private static List<UpstreamRecord> take(List<UpstreamRecord> gathered) {
+    List<UpstreamRecord> taken = List.copyOf(gathered);
+    gathered.clear();
+    return taken;
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamListeners.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamListeners.java
@@ -9,6 +9,7 @@
 final class UpstreamListeners {
 
   private final List<Consumer<UpstreamRecord>> ended = new ArrayList<>();
+  private final List<Consumer<UpstreamRecord>> replaced = new ArrayList<>();
   private final List<Consumer<UpstreamRecord>> cold = new ArrayList<>();
   private final List<Consumer<Set<String>>> restored = new ArrayList<>();
   private final List<Runnable> zonesChanged = new ArrayList<>();
@@ -17,6 +18,10 @@
     ended.add(listener);
   }
 
+  void onReplaced(Consumer<UpstreamRecord> listener) {
+    replaced.add(listener);
+  }
+
   void onCold(Consumer<UpstreamRecord> listener) {
     cold.add(listener);
   }
@@ -33,6 +38,10 @@
     ended.forEach(listener -> listener.accept(upstream));
   }
 
+  void tellReplaced(UpstreamRecord upstream) {
+    replaced.forEach(listener -> listener.accept(upstream));
+  }
+
   void tellCold(UpstreamRecord upstream) {
     cold.forEach(listener -> listener.accept(upstream));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
@@ -3,9 +3,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One life of an upstream as the list of upstreams tells it.
+ * One start of an upstream as the list of upstreams tells it. An upstream that starts again may do
+ * so under the same id; it then holds and knows nothing of before.
  *
- * @param id unique for each start of an upstream
+ * @param id name that it is listed under
+ * @param born when it started, in milliseconds since 1970; 0 if that is not told, and then no other
+ *     start has its id
  * @param service name of its service
  * @param host IP number
  * @param port TCP port
@@ -17,6 +20,7 @@
  */
 public record UpstreamRecord(
     String id,
+    long born,
     String service,
     String host,
     int port,
@@ -25,10 +29,31 @@
     boolean leaving,
     long coldMillis) {
 
-  /** Creates one that is not cold. */
+  /** Creates one that does not tell when it started. */
+  public UpstreamRecord(
+      String id,
+      String service,
+      String host,
+      int port,
+      String zone,
+      int slots,
+      boolean leaving,
+      long coldMillis) {
+    this(id, 0, service, host, port, zone, slots, leaving, coldMillis);
+  }
+
+  /** Creates one that does not tell when it started and is not cold. */
   public UpstreamRecord(
       String id, String service, String host, int port, String zone, int slots, boolean leaving) {
-    this(id, service, host, port, zone, slots, leaving, 0);
+    this(id, 0, service, host, port, zone, slots, leaving, 0);
+  }
+
+  /**
+   * Returns what names this start, and none before or after it, in all that a box or its peers know
+   * of it: load, room, connections, what it was sent. The id alone where no birth is told.
+   */
+  public String start() {
+    return born == 0 ? id : id + "*" + Long.toString(born, Character.MAX_RADIX);
   }
 
   /** Returns host and port. */
@@ -41,6 +66,7 @@
   public boolean equals(@Nullable Object other) {
     return other instanceof UpstreamRecord that
         && id.equals(that.id)
+        && born == that.born
         && service.equals(that.service)
         && host.equals(that.host)
         && port == that.port
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -1,21 +1,19 @@
 package org.gradeledge.discovery;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.gradeledge.event.EventLog;
-import org.jspecify.annotations.Nullable;
 
 /**
- * All upstreams that are known to the box. An upstream that has once been leaving takes no new work
- * again under the same id, whatever an older report says; one whose entry only lapsed may come
- * back.
+ * All upstreams that are known to the box, by id the newest start of each. A start that has once
+ * been leaving takes no new work again, whatever an older report says; one whose entry only lapsed
+ * may come back. A newer start under the same id ends the one before, and what is heard of that one
+ * later changes nothing.
  *
  * <p>Confined to the event loop.
  *
@@ -25,19 +23,16 @@
 
   private final UpstreamChangeLog changes;
   private final UpstreamListeners listeners = new UpstreamListeners();
-  private final Map<String, UpstreamRecord> byId = new HashMap<>();
+  private final KnownUpstreams known;
   private final UpstreamIndex index = new UpstreamIndex();
-  private final DepartedUpstreams departed = new DepartedUpstreams();
-  private final Set<String> lapsed = new HashSet<>();
-  private final List<UpstreamRecord> endedNow = new ArrayList<>();
   private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
-  private boolean sourceAway;
   private long revision = -1;
   private long changedAt = -1;
 
   /** Creates an empty registry. */
   public UpstreamRegistry(EventLog events) {
     this.changes = new UpstreamChangeLog(events);
+    this.known = new KnownUpstreams(changes);
   }
 
   /** Tells a listener of each upstream that takes no new work any more. */
@@ -45,6 +40,11 @@
     listeners.onEnd(listener);
   }
 
+  /** Tells a listener of each start after which another one has begun under the same id. */
+  public void onReplaced(Consumer<UpstreamRecord> listener) {
+    listeners.onReplaced(listener);
+  }
+
   /** Tells a listener whenever other zones than before take no new work. */
   public void onZonesChanged(Runnable listener) {
     listeners.onZonesChanged(listener);
@@ -100,17 +100,17 @@
 
   /** Returns all upstreams that are known. */
   public Collection<UpstreamRecord> all() {
-    return byId.values();
+    return known.all();
   }
 
   /** Returns the upstreams of some zones. */
   public List<UpstreamRecord> inZones(Set<String> zones) {
-    return byId.values().stream().filter(upstream -> zones.contains(upstream.zone())).toList();
+    return known.all().stream().filter(upstream -> zones.contains(upstream.zone())).toList();
   }
 
   /** Returns the upstreams that the list names now, without those whose entry may have lapsed. */
   public Collection<UpstreamRecord> listed() {
-    return byId.values().stream().filter(upstream -> !lapsed.contains(upstream.id())).toList();
+    return known.all().stream().filter(upstream -> !known.isLapsed(upstream)).toList();
   }
 
   /** Returns the upstreams of a service that take new work. */
@@ -119,9 +119,8 @@
   }
 
   /** Returns whether new work may still be sent to an upstream. */
-  public boolean isUsable(String id) {
-    UpstreamRecord known = byId.get(id);
-    return known != null && takesNewWork(known);
+  public boolean isUsable(UpstreamRecord upstream) {
+    return known.find(upstream).filter(this::takesNewWork).isPresent();
   }
 
   private boolean takesNewWork(UpstreamRecord upstream) {
@@ -142,26 +141,27 @@
 
   /** Takes a whole list on where it is not older than what is held. */
   public void replaceAll(long newRevision, Collection<UpstreamRecord> records) {
-    if (newRevision < revision) {
-      return;
+    if (newRevision >= revision) {
+      begin(newRevision);
+      known.retain(records.stream().map(UpstreamRecord::id).collect(Collectors.toSet()));
+      records.forEach(known::put);
+      conclude();
     }
-    revision = newRevision;
-    Set<String> listed = new HashSet<>();
-    records.forEach(upstream -> listed.add(upstream.id()));
-    byId.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::remove);
-    records.forEach(this::put);
-    conclude();
   }
 
   /** Takes changes on that lead to a revision. */
   public void update(long newRevision, Collection<UpstreamRecord> put, Collection<String> gone) {
-    if (newRevision < revision) {
-      return;
+    if (newRevision >= revision) {
+      begin(newRevision);
+      put.forEach(known::put);
+      gone.forEach(known::remove);
+      conclude();
     }
+  }
+
+  private void begin(long newRevision) {
     revision = newRevision;
-    put.forEach(this::put);
-    gone.forEach(this::remove);
-    conclude();
+    known.begin(newRevision);
   }
 
   /**
@@ -169,23 +169,18 @@
    * lapsed, as the upstream could not renew it, and stays in use until the list can be trusted.
    */
   public void distrustRemovals() {
-    sourceAway = true;
+    known.distrustRemovals();
   }
 
   /** Notes that the upstreams have had the time to renew their entries: what is missing is gone. */
   public void trustRemovals() {
-    sourceAway = false;
-    Set<String> missing = Set.copyOf(lapsed);
-    lapsed.clear();
-    missing.forEach(this::remove);
+    known.trustRemovals();
     conclude();
   }
 
   /** Notes that an upstream was seen to be gone, for instance since another has its address. */
-  public void markGone(String id) {
-    departed.remember(id);
-    lapsed.remove(id);
-    end(id);
+  public void markGone(UpstreamRecord upstream) {
+    known.depart(upstream);
     conclude();
   }
 
@@ -194,86 +189,27 @@
    * whose entry has vanished as well is out of use until it renews that.
    */
   public void closesConnections(UpstreamRecord upstream) {
-    if (lapsed.remove(upstream.id())) {
-      log("upstream-closing", upstream);
-      end(upstream.id());
+    if (known.isLapsed(upstream)) {
+      known.endIfLapsed(upstream);
       conclude();
     }
   }
 
-  private void put(UpstreamRecord upstream) {
-    UpstreamRecord before = byId.get(upstream.id());
-    if (departed.contains(upstream.id()) && !upstream.leaving()) {
-      return;
-    }
-    lapsed.remove(upstream.id());
-    byId.put(upstream.id(), upstream);
-    if (!upstream.equals(before) || isNewlyCold(upstream, before)) {
-      changedAt = revision;
-    }
-    if (upstream.coldMillis() > 0) {
-      listeners.tellCold(upstream);
-    }
-    if (before == null) {
-      log("upstream-listed", upstream);
-    }
-    if (upstream.leaving() && (before == null || !before.leaving())) {
-      departed.remember(upstream.id());
-      end("upstream-leaving", upstream);
-    }
-  }
-
-  private static boolean isNewlyCold(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
-    return upstream.coldMillis() > 0 && (before == null || before.coldMillis() == 0);
-  }
-
-  private void remove(String id) {
-    UpstreamRecord known = byId.get(id);
-    if (sourceAway && known != null && !known.leaving()) {
-      lapse(known);
-    } else {
-      end(id);
-    }
-  }
-
-  private void lapse(UpstreamRecord upstream) {
-    if (lapsed.add(upstream.id())) {
-      changedAt = revision;
-      log("upstream-lapsed", upstream);
-    }
-  }
-
-  private void end(String id) {
-    UpstreamRecord before = byId.remove(id);
-    if (before != null) {
-      changedAt = revision;
-    }
-    if (before != null && !before.leaving()) {
-      end("upstream-gone", before);
-    }
-  }
-
-  private void end(String what, UpstreamRecord upstream) {
-    log(what, upstream);
-    endedNow.add(upstream);
-  }
-
   /**
    * Ends a change. Listeners look for other upstreams at once, so that they must not be told before
    * those that have just ended are out of the index.
    */
   private void conclude() {
+    if (known.takeChanged()) {
+      changedAt = revision;
+    }
     rebuild();
-    List<UpstreamRecord> ended = List.copyOf(endedNow);
-    endedNow.clear();
-    ended.forEach(listeners::tellEnd);
-  }
-
-  private void log(String what, UpstreamRecord upstream) {
-    changes.write(what, upstream, revision);
+    known.takeCold().forEach(listeners::tellCold);
+    known.takeEnded().forEach(listeners::tellEnd);
+    known.takeReplaced().forEach(listeners::tellReplaced);
   }
 
   private void rebuild() {
-    index.rebuild(byId.values(), this::takesNewWork);
+    index.rebuild(known.all(), this::takesNewWork);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
@@ -11,10 +11,11 @@
 final class UpstreamListFormat implements MessageFormat<UpstreamList> {
 
   private static final int FIELDS = 2;
-  private static final int RECORD_FIELDS = 8;
+  private static final int RECORD_FIELDS = 9;
   private static final String REVISION = "revision";
   private static final String UPSTREAMS = "upstreams";
   private static final String ID = "id";
+  private static final String BORN = "born";
   private static final String SERVICE = "service";
   private static final String HOST = "host";
   private static final String PORT = "port";
@@ -36,6 +37,7 @@
   private static void write(MessagePacker packer, UpstreamRecord upstream) throws IOException {
     packer.packMapHeader(RECORD_FIELDS);
     packer.packString(ID).packString(upstream.id());
+    packer.packString(BORN).packLong(upstream.born());
     packer.packString(SERVICE).packString(upstream.service());
     packer.packString(HOST).packString(upstream.host());
     packer.packString(PORT).packInt(upstream.port());
@@ -56,6 +58,7 @@
   private static UpstreamRecord read(MessageFields fields) {
     return new UpstreamRecord(
         fields.text(ID),
+        fields.numberOr(BORN, 0),
         fields.text(SERVICE),
         fields.text(HOST),
         fields.integer(PORT),
--- a/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
@@ -64,7 +64,8 @@
       UpstreamRegistry registry,
       EventLoop loop,
       MonotonicClock clock,
-      EventLog events) {
+      EventLog events,
+      Runnable onUnreadableRow) {
     this.leavingBound = leavingBound;
     this.mesh = mesh;
     this.configurations =
@@ -79,7 +80,12 @@
                 this::configurationWait, () -> CONFIGURATION_PAUSE, () -> BACKOFF_OF_OTHERS));
     UpstreamTableListener listener =
         new UpstreamTableListener(
-            registry, adapters.upstreamReader(), events, mesh::tellNow, loop, leavingBound);
+            registry,
+            adapters.upstreamReader(),
+            new UnreadableRows(events, onUnreadableRow),
+            mesh::tellNow,
+            loop,
+            leavingBound);
     this.upstreams =
         new TableFollower(
             "upstreams",
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -75,9 +75,7 @@
     this.upstreams = new UpstreamRegistry(events);
     LoadBoard board = new LoadBoard(clock, events);
     this.mesh = newMesh(board, clock);
-    this.followers =
-        new PlatformFollowers(
-            adapters, settings.leavingBound(), mesh, deployments, upstreams, loop, clock, events);
+    this.followers = newFollowers(adapters, clock);
     RetryBudget budget =
         new RetryBudget(
             clock,
@@ -88,6 +86,7 @@
     ColdUpstreams cold = newColdUpstreams(clock);
     PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit);
     upstreams.onEnd(caller::end);
+    upstreams.onReplaced(caller::breakOff);
     caller.onClosing(upstreams::closesConnections);
     upstreams.onEnd(board::forget);
     BatchCoordinator coordinator =
@@ -121,6 +120,19 @@
     this.stop = new PlannedStop(settings.grace(), server, handler, mesh, loop, events);
   }
 
+  private PlatformFollowers newFollowers(RelayAdapters adapters, MonotonicClock clock) {
+    return new PlatformFollowers(
+        adapters,
+        settings.leavingBound(),
+        mesh,
+        deployments,
+        upstreams,
+        loop,
+        clock,
+        events,
+        metrics::unreadableRow);
+  }
+
   private ColdUpstreams newColdUpstreams(MonotonicClock clock) {
     ColdUpstreams cold =
         new ColdUpstreams(
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
@@ -2,17 +2,21 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
-import org.gradeledge.event.EventLog;
 import org.gradeledge.follow.TableChanges;
 import org.gradeledge.follow.TableContent;
 import org.gradeledge.follow.TableListener;
 import org.gradeledge.follow.TableRow;
 
-/** Takes the list of upstreams into the registry; a row that cannot be read is passed over. */
+/**
+ * Takes the list of upstreams into the registry. A row that cannot be read names no upstream: where
+ * one stood under its key before, that is taken as missing until the row is whole again, since what
+ * cannot be read may have said that the upstream leaves.
+ */
 final class UpstreamTableListener implements TableListener {
 
   /** Upstreams that live have renewed their entries by then after the platform's return. */
@@ -26,7 +30,7 @@
 
   private final UpstreamRegistry upstreams;
   private final UpstreamRowReader reader;
-  private final EventLog events;
+  private final UnreadableRows unreadable;
   private final Runnable onNews;
   private final EventLoop loop;
   private final long graceMillis;
@@ -42,13 +46,13 @@
   UpstreamTableListener(
       UpstreamRegistry upstreams,
       UpstreamRowReader reader,
-      EventLog events,
+      UnreadableRows unreadable,
       Runnable onNews,
       EventLoop loop,
       Duration leavingBound) {
     this.upstreams = upstreams;
     this.reader = reader;
-    this.events = events;
+    this.unreadable = unreadable;
     this.onNews = onNews;
     this.loop = loop;
     this.graceMillis =
@@ -62,12 +66,15 @@
 
   @Override
   public void onContent(TableContent content) {
-    upstreams.replaceAll(content.revision(), read(content.rows()));
+    upstreams.replaceAll(content.revision(), read(content.rows(), new ArrayList<>()));
   }
 
   @Override
   public void onChanges(TableChanges changes) {
-    tellIfNews(() -> upstreams.update(changes.revision(), read(changes.put()), changes.removed()));
+    unreadable.forget(changes.removed());
+    List<String> missing = new ArrayList<>(changes.removed());
+    List<UpstreamRecord> whole = read(changes.put(), missing);
+    tellIfNews(() -> upstreams.update(changes.revision(), whole, missing));
   }
 
   private void tellIfNews(Runnable change) {
@@ -110,14 +117,17 @@
     }
   }
 
-  private List<UpstreamRecord> read(List<TableRow> rows) {
-    return rows.stream()
-        .map(row -> reader.read(row).peekLeft(why -> unreadable(row, why)))
-        .flatMap(read -> read.toJavaStream())
-        .toList();
-  }
-
-  private void unreadable(TableRow row, String why) {
-    events.problem("upstream-row-unreadable").with("row", row.key()).with("why", why).write();
+  /** Returns the upstreams that rows name, and adds the keys of the other rows to a list. */
+  private List<UpstreamRecord> read(List<TableRow> rows, List<String> unread) {
+    List<UpstreamRecord> whole = new ArrayList<>();
+    for (TableRow row : rows) {
+      reader
+          .read(row)
+          .peek(whole::add)
+          .peek(upstream -> unreadable.forget(List.of(row.key())))
+          .peekLeft(why -> unreadable.add(row, why))
+          .peekLeft(why -> unread.add(row.key()));
+    }
+    return whole;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -153,7 +153,7 @@
     stopWatch();
     outcome.notRun(ended.upstream(), status);
     if (facts.otherUpstream()) {
-      services.upstreams().markGone(ended.upstream().id());
+      services.upstreams().markGone(ended.upstream());
     } else if (status == INPUTS_GONE && inputs.wereGone()) {
       remakeInputs();
       return;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -53,6 +53,18 @@
           .withoutExemplars()
           .register(registry);
 
+  private final Counter unreadableRows =
+      Counter.builder()
+          .name("gradeledge_upstream_rows_unreadable_total")
+          .help("Rows of the list of upstreams that name none, each counted once a change")
+          .withoutExemplars()
+          .register(registry);
+
+  /** Counts a row of the list of upstreams that names none. */
+  public void unreadableRow() {
+    unreadableRows.inc();
+  }
+
   /** Counts a request that ended. */
   public void ended(Repeatability kind, String outcome, long millis) {
     requests.labelValues(name(kind), outcome).inc();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -49,11 +49,11 @@
   Optional<UpstreamRecord> next() {
     List<UpstreamRecord> left =
         services.upstreams().usable(service).stream()
-            .filter(each -> !tried.contains(each.id()))
+            .filter(each -> !tried.contains(each.start()))
             .filter(services.cold()::admits)
             .toList();
     Optional<UpstreamRecord> chosen = services.chooser().choose(left, demand());
-    chosen.ifPresent(upstream -> tried.add(upstream.id()));
+    chosen.ifPresent(upstream -> tried.add(upstream.start()));
     chosen.ifPresent(services.cold()::sent);
     return chosen;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/ColdUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/ColdUpstreams.java
@@ -81,7 +81,7 @@
 
   /** Notes that an upstream said for how long it is cold. */
   public void told(UpstreamRecord upstream) {
-    extend(upstream.id(), Duration.ofMillis(upstream.coldMillis()));
+    extend(upstream.start(), Duration.ofMillis(upstream.coldMillis()));
   }
 
   /** Takes upstreams that were out of use as if they had just started. */
@@ -90,17 +90,18 @@
         upstream ->
             limits
                 .apply(upstream.service())
-                .ifPresent(limit -> extend(upstream.id(), limit.lasts())));
+                .ifPresent(limit -> extend(upstream.start(), limit.lasts())));
   }
 
   /** Forgets an upstream that is gone. */
   public void forget(UpstreamRecord upstream) {
-    cold.remove(upstream.id());
+    cold.remove(upstream.start());
   }
 
-  private void extend(String id, Duration lasts) {
+  private void extend(String start, Duration lasts) {
     long now = clock.nanos();
-    Allowance allowance = cold.computeIfAbsent(id, key -> new Allowance(now, random.nextDouble()));
+    Allowance allowance =
+        cold.computeIfAbsent(start, key -> new Allowance(now, random.nextDouble()));
     if (now + lasts.toNanos() - allowance.endNanos > 0) {
       allowance.endNanos = now + lasts.toNanos();
     }
@@ -108,14 +109,14 @@
 
   /** Returns whether this box may send one more request to an upstream now. */
   public boolean admits(UpstreamRecord upstream) {
-    Allowance allowance = cold.get(upstream.id());
+    Allowance allowance = cold.get(upstream.start());
     if (allowance == null) {
       return true;
     }
     long now = clock.nanos();
     Optional<ColdStart> limit = limits.apply(upstream.service());
     if (limit.isEmpty() || now - allowance.endNanos >= 0) {
-      cold.remove(upstream.id());
+      cold.remove(upstream.start());
       return true;
     }
     fill(allowance, limit.get(), now);
@@ -132,6 +133,7 @@
 
   /** Notes that a request goes to an upstream. */
   public void sent(UpstreamRecord upstream) {
-    Optional.ofNullable(cold.get(upstream.id())).ifPresent(allowance -> allowance.level -= WHOLE);
+    Optional.ofNullable(cold.get(upstream.start()))
+        .ifPresent(allowance -> allowance.level -= WHOLE);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/LoadBoard.java
@@ -20,7 +20,7 @@
 
   private final MonotonicClock clock;
   private final EventLog events;
-  private final Map<String, UpstreamLoad> byId = new HashMap<>();
+  private final Map<String, UpstreamLoad> byStart = new HashMap<>();
   private final Map<String, Set<String>> toldByBox = new HashMap<>();
 
   /** Creates a board that knows nothing. */
@@ -31,7 +31,7 @@
 
   /** Counts a request sent to an upstream. */
   public void started(UpstreamRecord upstream, long tokens) {
-    UpstreamLoad load = load(upstream.id());
+    UpstreamLoad load = load(upstream.start());
     if (load.own().running() == 0) {
       load.heard(clock.nanos());
     }
@@ -40,12 +40,12 @@
 
   /** Counts the end of a request, however it ended. */
   public void ended(UpstreamRecord upstream, long tokens) {
-    load(upstream.id()).ended(tokens);
+    load(upstream.start()).ended(tokens);
   }
 
-  /** Counts memory that results take at an upstream, negative where it is given back. */
-  public void hold(String upstreamId, long memory) {
-    UpstreamLoad load = memory > 0 ? load(upstreamId) : byId.get(upstreamId);
+  /** Counts memory that results take at a start of an upstream, negative where it is given back. */
+  public void hold(String start, long memory) {
+    UpstreamLoad load = memory > 0 ? load(start) : byStart.get(start);
     if (load != null) {
       load.hold(memory);
     }
@@ -53,17 +53,17 @@
 
   /** Returns how many requests other boxes have under way at an upstream. */
   public int runningAtPeers(UpstreamRecord upstream) {
-    return load(upstream.id()).peersRunning();
+    return load(upstream.start()).peersRunning();
   }
 
   /** Returns how much memory other boxes take at an upstream. */
   public long memoryAtPeers(UpstreamRecord upstream) {
-    return load(upstream.id()).peersTokens();
+    return load(upstream.start()).peersTokens();
   }
 
   /** Notes an answer in good order after so many milliseconds. */
   public void succeeded(UpstreamRecord upstream, double millis) {
-    load(upstream.id()).succeeded(millis);
+    load(upstream.start()).succeeded(millis);
   }
 
   /**
@@ -72,7 +72,7 @@
    * @param certain whether it alone says that the upstream cannot be used now
    */
   public void failed(UpstreamRecord upstream, boolean certain, String why) {
-    if (load(upstream.id()).failed(certain, clock.nanos())) {
+    if (load(upstream.start()).failed(certain, clock.nanos())) {
       events
           .change("upstream-avoided")
           .with("upstream", upstream.id())
@@ -84,17 +84,17 @@
 
   /** Sends nothing to an upstream for a while, as it said that it is full. */
   public void pause(UpstreamRecord upstream, long millis) {
-    load(upstream.id()).avoidFor(millis, clock.nanos());
+    load(upstream.start()).avoidFor(millis, clock.nanos());
   }
 
   /** Notes that bytes came from an upstream. */
   public void heard(UpstreamRecord upstream) {
-    load(upstream.id()).heard(clock.nanos());
+    load(upstream.start()).heard(clock.nanos());
   }
 
   /** Returns for how long an upstream has sent nothing while the box had requests there. */
   public long silentMillis(UpstreamRecord upstream) {
-    return load(upstream.id()).silentMillis(clock.nanos());
+    return load(upstream.start()).silentMillis(clock.nanos());
   }
 
   /** Takes the place of what a peer told before. */
@@ -102,7 +102,7 @@
     Set<String> before = toldByBox.getOrDefault(box, Set.of());
     before.stream()
         .filter(id -> !shares.containsKey(id))
-        .flatMap(id -> Optional.ofNullable(byId.get(id)).stream())
+        .flatMap(id -> Optional.ofNullable(byStart.get(id)).stream())
         .forEach(load -> load.dropShare(box));
     shares.forEach((id, share) -> load(id).setShare(box, share));
     noteTold(box, shares.keySet());
@@ -118,27 +118,27 @@
 
   /** Returns what this box has under way, by upstream. */
   public Map<String, LoadShare> ownShares() {
-    return byId.entrySet().stream()
+    return byStart.entrySet().stream()
         .filter(entry -> entry.getValue().own().isSomething())
         .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().own()));
   }
 
   /** Forgets an upstream that has nothing under way. */
   public void forget(UpstreamRecord upstream) {
-    UpstreamLoad load = byId.get(upstream.id());
+    UpstreamLoad load = byStart.get(upstream.start());
     if (load != null && load.own().running() == 0) {
-      byId.remove(upstream.id());
+      byStart.remove(upstream.start());
     }
   }
 
   /** Returns those that are not avoided, or all if there are none. */
   public List<UpstreamRecord> preferred(List<UpstreamRecord> candidates) {
     List<UpstreamRecord> sound =
-        candidates.stream().filter(each -> !load(each.id()).avoided(clock.nanos())).toList();
+        candidates.stream().filter(each -> !load(each.start()).avoided(clock.nanos())).toList();
     return sound.isEmpty() ? candidates : sound;
   }
 
-  UpstreamLoad load(String id) {
-    return byId.computeIfAbsent(id, unknown -> new UpstreamLoad());
+  UpstreamLoad load(String start) {
+    return byStart.computeIfAbsent(start, unknown -> new UpstreamLoad());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/LeavingUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/LeavingUpstreamTests.java
@@ -42,7 +42,7 @@
     SAYS_THAT_IT_LEAVES(list -> list.update(2, List.of(upstream(true)), List.of())),
     ENTRY_VANISHES(list -> list.update(2, List.of(), List.of("u1"))),
     MISSING_FROM_A_WHOLE_LIST(list -> list.replaceAll(2, List.of())),
-    ANOTHER_HAS_ITS_ADDRESS(list -> list.markGone("u1")),
+    ANOTHER_HAS_ITS_ADDRESS(list -> list.markGone(upstream(false))),
     ENTRY_LAPSED_AND_DID_NOT_COME_BACK(
         list -> {
           list.distrustRemovals();
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/RestartedMakerTests.java
@@ -0,0 +1,99 @@
+package org.gradeledge.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.connection.FakeUpstreamCaller;
+import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLogs;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** An upstream that makes results starts again under its id, at its address, and holds nothing. */
+@Timeout(30)
+class RestartedMakerTests {
+
+  private static final long ROOM = 1_000;
+
+  private final EventLoop loop = new DefaultEventLoop();
+  private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
+  private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final BlockingQueue<StageGroupResult> results = new LinkedBlockingQueue<>();
+  private final BatchCoordinator coordinator =
+      BatchCoordinator.builder()
+          .box("box", loop, clock)
+          .upstreams(upstreams, service -> Optional.of(new BatchLimits(1, 4, 400, 1, ROOM, 60_000)))
+          .calls(caller, new FakeStageProtocol())
+          .beliefs(
+              new LoadBoard(clock, EventLogs.silent()),
+              new RetryBudget(clock, 0, 100, Duration.ofSeconds(10), () -> 1),
+              EventLogs.silent())
+          .build();
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void resultsOfTheStartBeforeTakeNoRoomOfTheNext() throws Exception {
+    onLoop(() -> upstreams.replaceAll(1, List.of(start(1))));
+    submit("a");
+    answer(caller.next(), "10.0.0.1:1/a");
+    submit("waits-for-room");
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.MADE);
+    assertThat(caller.isQuiet()).isTrue();
+
+    onLoop(() -> upstreams.update(2, List.of(start(2)), List.of()));
+
+    FakeUpstreamCaller.Call call = caller.next();
+    assertThat(call.target().born()).isEqualTo(2);
+    assertThat(call.body()).isEqualTo("waits-for-room:0");
+  }
+
+  @Test
+  void theNextStartIsNotAskedToGiveUpResultsOfTheOneBefore() throws Exception {
+    onLoop(() -> upstreams.replaceAll(1, List.of(start(1))));
+    submit("a");
+    answer(caller.next(), "10.0.0.1:1/a");
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.MADE);
+    onLoop(() -> upstreams.update(2, List.of(start(2)), List.of()));
+    submit("b");
+    answer(caller.next(), "10.0.0.1:1/b");
+    assertThat(results.poll(10, TimeUnit.SECONDS).outcome()).isEqualTo(StageOutcome.MADE);
+
+    onLoop(() -> coordinator.free(List.of("10.0.0.1:1/a", "10.0.0.1:1/b")));
+
+    assertThat(caller.next().body()).isEqualTo("10.0.0.1:1/b");
+  }
+
+  private void submit(String request) throws InterruptedException {
+    onLoop(() -> coordinator.submit(StageGroups.large(request, 1, ROOM / 2 + 1), results::add));
+  }
+
+  private void answer(FakeUpstreamCaller.Call call, String body) throws InterruptedException {
+    onLoop(() -> call.answer(200, body));
+  }
+
+  private void onLoop(Runnable action) throws InterruptedException {
+    loop.submit(action).sync();
+  }
+
+  private static UpstreamRecord start(long born) {
+    return new UpstreamRecord("u1", born, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+  }
+}
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -85,6 +85,10 @@
   @Override
   public void end(UpstreamRecord target) {}
 
+  /** Does nothing, as there are no connections. */
+  @Override
+  public void breakOff(UpstreamRecord target) {}
+
   /** Returns the next call, waiting for it. */
   public Call next() throws InterruptedException {
     Call call = calls.poll(10, TimeUnit.SECONDS);
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -144,6 +144,17 @@
     assertThat(outcomes).isEmpty();
   }
 
+  @Test
+  void callsToAStartThatAnotherHasReplacedAreBrokenOff() throws Exception {
+    start("/never", ConnectionReuse.ANY);
+    assertThat(received.poll(20, TimeUnit.SECONDS)).isEqualTo("/never");
+
+    loop.submit(() -> caller.breakOff(upstream())).sync();
+
+    assertThat(outcomes.poll(20, TimeUnit.SECONDS)).isEqualTo(CallFailure.BROKEN.name());
+    assertThat(call("/next", ConnectionReuse.ANY)).isEqualTo("ok");
+  }
+
   @Test
   void tellsOfAnswersAfterWhichTheUpstreamClosesItsConnection() throws Exception {
     BlockingQueue<String> closing = new LinkedBlockingQueue<>();
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRecordTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRecordTests.java
@@ -23,6 +23,7 @@
     assertThat(
             List.of(
                 new UpstreamRecord("other", "service", "10.0.0.1", 1, "zone", 2, false),
+                new UpstreamRecord("id", 7, "service", "10.0.0.1", 1, "zone", 2, false, 0),
                 new UpstreamRecord("id", "other", "10.0.0.1", 1, "zone", 2, false),
                 new UpstreamRecord("id", "service", "10.0.0.2", 1, "zone", 2, false),
                 new UpstreamRecord("id", "service", "10.0.0.1", 2, "zone", 2, false),
@@ -32,6 +33,15 @@
         .doesNotContain(UPSTREAM);
   }
 
+  @Test
+  void startsUnderOneIdHaveNamesOfTheirOwn() {
+    UpstreamRecord first = new UpstreamRecord("id", 7, "s", "10.0.0.1", 1, "z", 2, false, 0);
+    UpstreamRecord second = new UpstreamRecord("id", 8, "s", "10.0.0.1", 1, "z", 2, false, 0);
+
+    assertThat(first.start()).isNotEqualTo(second.start());
+    assertThat(UPSTREAM.start()).isEqualTo("id");
+  }
+
   @Test
   void addressesOfPeersCompareAlike() {
     PeerAddress address = new PeerAddress("box", 1, "10.0.0.1", 1);
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
@@ -32,7 +32,7 @@
 
     registry.update(3, List.of(upstream("a", false)), List.of());
 
-    assertThat(registry.isUsable("a")).isTrue();
+    assertThat(isUsable("a")).isTrue();
   }
 
   @Test
@@ -40,12 +40,12 @@
     registry.replaceAll(1, List.of(upstream("a", false), upstream("b", false)));
     registry.distrustRemovals();
     registry.replaceAll(5, List.of(upstream("b", false)));
-    assertThat(registry.isUsable("a")).isTrue();
+    assertThat(isUsable("a")).isTrue();
     assertThat(registry.listed()).extracting(UpstreamRecord::id).containsExactly("b");
 
     registry.trustRemovals();
 
-    assertThat(registry.isUsable("a")).isFalse();
+    assertThat(isUsable("a")).isFalse();
     assertThat(registry.usable("service")).extracting(UpstreamRecord::id).containsExactly("b");
   }
 
@@ -60,7 +60,7 @@
 
     registry.trustRemovals();
 
-    assertThat(registry.isUsable("a")).isTrue();
+    assertThat(isUsable("a")).isTrue();
     assertThat(ended).isEmpty();
   }
 
@@ -69,7 +69,7 @@
     registry.replaceAll(1, List.of(upstream("a", false)));
     registry.distrustRemovals();
     registry.update(4, List.of(upstream("a", true)), List.of());
-    assertThat(registry.isUsable("a")).isFalse();
+    assertThat(isUsable("a")).isFalse();
 
     registry.update(5, List.of(), List.of("a"));
 
@@ -87,7 +87,7 @@
     assertThat(registry.usable("service")).extracting(UpstreamRecord::id).containsExactly("b");
 
     registry.update(3, List.of(upstream("a", false)), List.of());
-    assertThat(registry.isUsable("a")).isTrue();
+    assertThat(isUsable("a")).isTrue();
   }
 
   @Test
@@ -107,18 +107,22 @@
     registry.replaceAll(5, List.of(upstream("a", false)));
     registry.replaceAll(4, List.of(upstream("b", false)));
 
-    assertThat(registry.isUsable("a")).isTrue();
-    assertThat(registry.isUsable("b")).isFalse();
+    assertThat(isUsable("a")).isTrue();
+    assertThat(isUsable("b")).isFalse();
     assertThat(registry.revision()).isEqualTo(5);
   }
 
   @Test
   void oneWhoseAddressAnotherHasIsGoneForGood() {
     registry.replaceAll(1, List.of(upstream("a", false)));
-    registry.markGone("a");
+    registry.markGone(upstream("a", false));
     registry.update(2, List.of(upstream("a", false)), List.of());
 
-    assertThat(registry.isUsable("a")).isFalse();
+    assertThat(isUsable("a")).isFalse();
+  }
+
+  private boolean isUsable(String id) {
+    return registry.usable("service").stream().anyMatch(upstream -> upstream.id().equals(id));
   }
 
   private static UpstreamRecord upstream(String id, boolean leaving) {
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/ZoneEvacuationsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/ZoneEvacuationsTests.java
@@ -31,7 +31,7 @@
     assertThat(registry.evacuate(new ZoneEvacuations(5, Set.of("east")))).isTrue();
 
     assertThat(registry.usable("service")).extracting(UpstreamRecord::id).containsExactly("b");
-    assertThat(registry.isUsable("a")).isFalse();
+    assertThat(registry.isUsable(upstream("a", "east"))).isFalse();
     assertThat(registry.all()).hasSize(2);
     assertThat(ended).isEmpty();
   }
@@ -65,7 +65,7 @@
 
     assertThat(restored).containsExactly(Set.of("west"));
     assertThat(looks).hasSize(2);
-    assertThat(registry.isUsable("b")).isTrue();
+    assertThat(registry.isUsable(upstream("b", "west"))).isTrue();
   }
 
   @Property(tries = 300)
@@ -78,11 +78,15 @@
     int newest = revisions.stream().max(Comparator.naturalOrder()).orElseThrow();
     assertThat(told.evacuations()).isEqualTo(orderAt(newest));
     List<String> usable =
-        Stream.of("a", "b").filter(told::isUsable).filter(id -> !id.isEmpty()).toList();
+        Stream.of(upstream("a", "east"), upstream("b", "west"))
+            .filter(told::isUsable)
+            .map(UpstreamRecord::id)
+            .toList();
     assertThat(told.usable("service"))
         .extracting(UpstreamRecord::id)
         .containsExactlyInAnyOrderElementsOf(usable);
-    assertThat(told.isUsable("a")).isEqualTo(!orderAt(newest).zones().contains("east"));
+    assertThat(told.isUsable(upstream("a", "east")))
+        .isEqualTo(!orderAt(newest).zones().contains("east"));
   }
 
   private static ZoneEvacuations orderAt(int revision) {
--- a/gradeledge-core/src/test/java/org/gradeledge/node/BoxInVirtualTime.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/BoxInVirtualTime.java
@@ -23,7 +23,7 @@
         new UpstreamTableListener(
             upstreams,
             ListInVirtualTime::readRow,
-            EventLogs.silent(),
+            new UnreadableRows(EventLogs.silent(), () -> {}),
             () -> {},
             channel.eventLoop(),
             leavingBound);
@@ -52,7 +52,7 @@
   }
 
   boolean uses(String id) {
-    return upstreams.isUsable(id);
+    return upstreams.usable("service").stream().anyMatch(each -> each.id().equals(id));
   }
 
   /** Lets time pass, a millisecond at a time. */
