--- a/gradeledge-core/src/test/java/org/gradeledge/batch/BatchCoordinatorTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/BatchCoordinatorTests.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +17,6 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
-import org.gradeledge.retry.RetryBudget;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.LoadShare;
 import org.gradeledge.time.MonotonicClock;
@@ -241,17 +239,8 @@
   }
 
   private BatchCoordinator newCoordinator(double allowance) {
-    MonotonicClock clock = MonotonicClock.system();
-    return BatchCoordinator.builder()
-        .box("box", loop, clock)
-        .upstreams(
-            upstreams, service -> Optional.of(new BatchLimits(1, 4, 400, 1, ROOM, keptMillis)))
-        .calls(caller, new FakeStageProtocol())
-        .beliefs(
-            board,
-            new RetryBudget(clock, 0, allowance, Duration.ofSeconds(10), () -> 1),
-            EventLogs.silent())
-        .build();
+    return new CoordinatorFixture(loop, upstreams, caller, board)
+        .withRetries(allowance, () -> Optional.of(new BatchLimits(1, 4, 400, 1, ROOM, keptMillis)));
   }
 
   private void list(UpstreamRecord... records) throws InterruptedException {
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/InputsTakenTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/InputsTakenTests.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -15,9 +14,6 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
-import org.gradeledge.retry.RetryBudget;
-import org.gradeledge.selection.LoadBoard;
-import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -82,17 +78,9 @@
   }
 
   private BatchCoordinator coordinator() {
-    MonotonicClock clock = MonotonicClock.system();
     BatchLimits twoAtATime = new BatchLimits(1, 2, 20, 1, 1_000, 60_000);
-    return BatchCoordinator.builder()
-        .box("box", loop, clock)
-        .upstreams(upstreams, service -> Optional.of(twoAtATime))
-        .calls(caller, new FakeStageProtocol())
-        .beliefs(
-            new LoadBoard(clock, EventLogs.silent()),
-            new RetryBudget(clock, 0, 100, Duration.ofSeconds(10), () -> 1),
-            EventLogs.silent())
-        .build();
+    return new CoordinatorFixture(loop, upstreams, caller)
+        .withLimits(() -> Optional.of(twoAtATime));
   }
 
   private static StageGroup withInputs(int pieces) {
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/RemovedServiceTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/RemovedServiceTests.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -15,9 +14,6 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
-import org.gradeledge.retry.RetryBudget;
-import org.gradeledge.selection.LoadBoard;
-import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -29,19 +25,10 @@
   private final EventLoop loop = new DefaultEventLoop();
   private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
   private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
-  private final MonotonicClock clock = MonotonicClock.system();
   private volatile Optional<BatchLimits> limits =
       Optional.of(new BatchLimits(1, 4, 400, 1, 1_000, 60_000));
   private final BatchCoordinator coordinator =
-      BatchCoordinator.builder()
-          .box("box", loop, clock)
-          .upstreams(upstreams, service -> limits)
-          .calls(caller, new FakeStageProtocol())
-          .beliefs(
-              new LoadBoard(clock, EventLogs.silent()),
-              new RetryBudget(clock, 0, 100, Duration.ofSeconds(10), () -> 1),
-              EventLogs.silent())
-          .build();
+      new CoordinatorFixture(loop, upstreams, caller).withLimits(() -> limits);
 
   @AfterEach
   void stop() {
