--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
@@ -23,7 +23,8 @@
   SoakBox(Path folder, int number, String store) throws IOException {
     this.folder = folder;
     this.number = number;
-    this.ports = FreePorts.find(PORTS);
+    // A box that is started again must find its ports free, whatever others dial meanwhile.
+    this.ports = FreePorts.findBelowOutgoing(PORTS);
     this.storeLink = new FaultyLink(store);
   }
 
