Read again: one owner of the list's revision, one way to retire connections, no state that follows from other state

KnownUpstreams holds revision and the revision of the last change, which the registry kept a second time beside a flag; a call is under way where no next one is planned, so the follower needs no flag for it; forgetting and ending connections share their first half; a start is looked up once where it is ended. UpstreamRecord loses a constructor that only tests called, and with it the property of the message formats now covers births, which were always 0 there. No behaviour changes, no bound or assertion either.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
@@ -74,19 +75,18 @@
 
   @Override
   public void forget(UpstreamRecord target) {
-    UpstreamConnections connections = byUpstream.remove(target.start());
-    if (connections != null) {
-      connections.closeKept();
-    }
+    retire(target);
   }
 
   @Override
   public void end(UpstreamRecord target) {
-    UpstreamConnections connections = byUpstream.remove(target.start());
-    if (connections != null) {
-      connections.closeKept();
-      connections.failDialling();
-    }
+    retire(target).ifPresent(UpstreamConnections::failDialling);
+  }
+
+  private Optional<UpstreamConnections> retire(UpstreamRecord target) {
+    Optional<UpstreamConnections> retired = Optional.ofNullable(byUpstream.remove(target.start()));
+    retired.ifPresent(UpstreamConnections::closeKept);
+    return retired;
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
@@ -24,8 +24,8 @@
   private final List<UpstreamRecord> replaced = new ArrayList<>();
   private final List<UpstreamRecord> cold = new ArrayList<>();
   private boolean sourceAway;
-  private boolean changed;
   private long revision = -1;
+  private long changedAt = -1;
 
   KnownUpstreams(UpstreamChangeLog log) {
     this.log = log;
@@ -36,6 +36,16 @@
     revision = newRevision;
   }
 
+  /** Returns the revision of the list that this stands at, -1 at the start. */
+  long revision() {
+    return revision;
+  }
+
+  /** Returns the revision at which the list last said something new, -1 at the start. */
+  long changedAt() {
+    return changedAt;
+  }
+
   Collection<UpstreamRecord> all() {
     return byId.values();
   }
@@ -82,7 +92,9 @@
   private void take(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
     lapsed.remove(upstream.id());
     byId.put(upstream.id(), upstream);
-    changed |= !upstream.equals(before) || isNewlyCold(upstream, before);
+    if (!upstream.equals(before) || isNewlyCold(upstream, before)) {
+      changedAt = revision;
+    }
     if (upstream.coldMillis() > 0) {
       cold.add(upstream);
     }
@@ -111,7 +123,7 @@
 
   private void lapse(UpstreamRecord upstream) {
     if (lapsed.add(upstream.id())) {
-      changed = true;
+      changedAt = revision;
       write("upstream-lapsed", upstream);
     }
   }
@@ -130,19 +142,13 @@
   /** Ends a start for good, if it is the newest one. */
   void depart(UpstreamRecord upstream) {
     departed.remember(upstream);
-    endStart(upstream);
+    find(upstream).ifPresent(known -> end(known.id()));
   }
 
   /** Ends a start whose entry has vanished, until it is listed again. */
   void endIfLapsed(UpstreamRecord upstream) {
-    if (isLapsed(upstream) && find(upstream).isPresent()) {
+    if (find(upstream).filter(this::isLapsed).isPresent()) {
       write("upstream-closing", upstream);
-      endStart(upstream);
-    }
-  }
-
-  private void endStart(UpstreamRecord upstream) {
-    if (find(upstream).isPresent()) {
       end(upstream.id());
     }
   }
@@ -150,7 +156,9 @@
   private void end(String id) {
     lapsed.remove(id);
     UpstreamRecord before = byId.remove(id);
-    changed |= before != null;
+    if (before != null) {
+      changedAt = revision;
+    }
     if (before != null && !before.leaving()) {
       write("upstream-gone", before);
       ended.add(before);
@@ -161,13 +169,6 @@
     log.write(what, upstream, revision);
   }
 
-  /** Returns whether the list has said something new since this was asked last. */
-  boolean takeChanged() {
-    boolean told = changed;
-    changed = false;
-    return told;
-  }
-
   /** Returns what takes no new work any more since this was asked last. */
   List<UpstreamRecord> takeEnded() {
     return take(ended);
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
@@ -29,19 +29,6 @@
     boolean leaving,
     long coldMillis) {
 
-  /** Creates one that does not tell when it started. */
-  public UpstreamRecord(
-      String id,
-      String service,
-      String host,
-      int port,
-      String zone,
-      int slots,
-      boolean leaving,
-      long coldMillis) {
-    this(id, 0, service, host, port, zone, slots, leaving, coldMillis);
-  }
-
   /** Creates one that does not tell when it started and is not cold. */
   public UpstreamRecord(
       String id, String service, String host, int port, String zone, int slots, boolean leaving) {
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -26,8 +26,6 @@
   private final KnownUpstreams known;
   private final UpstreamIndex index = new UpstreamIndex();
   private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
-  private long revision = -1;
-  private long changedAt = -1;
 
   /** Creates an empty registry. */
   public UpstreamRegistry(EventLog events) {
@@ -90,12 +88,12 @@
 
   /** Returns the revision of the list that the registry stands at, -1 at the start. */
   public long revision() {
-    return revision;
+    return known.revision();
   }
 
   /** Returns the revision at which the list last said something new, -1 at the start. */
   public long changedAt() {
-    return changedAt;
+    return known.changedAt();
   }
 
   /** Returns all upstreams that are known. */
@@ -141,8 +139,8 @@
 
   /** Takes a whole list on where it is not older than what is held. */
   public void replaceAll(long newRevision, Collection<UpstreamRecord> records) {
-    if (newRevision >= revision) {
-      begin(newRevision);
+    if (newRevision >= known.revision()) {
+      known.begin(newRevision);
       known.retain(records.stream().map(UpstreamRecord::id).collect(Collectors.toSet()));
       records.forEach(known::put);
       conclude();
@@ -151,19 +149,14 @@
 
   /** Takes changes on that lead to a revision. */
   public void update(long newRevision, Collection<UpstreamRecord> put, Collection<String> gone) {
-    if (newRevision >= revision) {
-      begin(newRevision);
+    if (newRevision >= known.revision()) {
+      known.begin(newRevision);
       put.forEach(known::put);
       gone.forEach(known::remove);
       conclude();
     }
   }
 
-  private void begin(long newRevision) {
-    revision = newRevision;
-    known.begin(newRevision);
-  }
-
   /**
    * Notes that the list's source does not answer: an entry that vanishes from now on may only have
    * lapsed, as the upstream could not renew it, and stays in use until the list can be trusted.
@@ -200,9 +193,6 @@
    * those that have just ended are out of the index.
    */
   private void conclude() {
-    if (known.takeChanged()) {
-      changedAt = revision;
-    }
     rebuild();
     known.takeCold().forEach(listeners::tellCold);
     known.takeEnded().forEach(listeners::tellEnd);
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -39,10 +39,12 @@
   private final FollowPace pace;
   private long revision = -1;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
+
+  /** The next call, null while one is under way. */
   private @Nullable ScheduledFuture<?> pausing;
+
   private long calls;
   private long calledNanos;
-  private boolean calling;
   private boolean lost;
   private boolean away;
 
@@ -76,7 +78,7 @@
   public void lookNow() {
     if (pausing != null && pausing.cancel(false)) {
       next();
-    } else if (lost && calling && callMillis() > HUNG_MILLIS) {
+    } else if (pausing == null && lost && callMillis() > HUNG_MILLIS) {
       next();
     }
   }
@@ -104,7 +106,6 @@
 
   private <T> void subscribe(Mono<T> call, Consumer<T> taker) {
     long number = ++calls;
-    calling = true;
     calledNanos = clock.nanos();
     call.switchIfEmpty(Mono.error(() -> new IOException("no answer")))
         .subscribe(
@@ -115,7 +116,6 @@
   /** Only the newest call counts; what comes of one that was given up is passed over. */
   private void ended(long number, Runnable outcome) {
     if (number == calls) {
-      calling = false;
       outcome.run();
     }
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -87,6 +87,7 @@
       upstreams.add(
           new UpstreamRecord(
               text(random),
+              random.nextLong(Long.MAX_VALUE),
               text(random),
               text(random),
               random.nextInt(65_536),
--- a/gradeledge-core/src/test/java/org/gradeledge/selection/ColdUpstreamsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/selection/ColdUpstreamsTests.java
@@ -28,7 +28,7 @@
   private static final Duration LONG_AGO = Duration.ofSeconds(10);
 
   private static final UpstreamRecord COLD =
-      new UpstreamRecord("id", "service", "127.0.0.1", 1, "zone", 24, false, COLD_MILLIS);
+      new UpstreamRecord("id", 0, "service", "127.0.0.1", 1, "zone", 24, false, COLD_MILLIS);
 
   private long nowNanos;
   private final MonotonicClock clock = () -> nowNanos;
