A test that fails: one request ends all upstreams, whichever box it comes to, also after all boxes were lost

Three boxes, twelve upstreams that crash when they begin to run one body: 12 of 12 end in 12 arrivals, 6 may (3 prove it, 3 may be under way).

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -1,6 +1,5 @@
 package org.gradeledge.standin.fleet;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
@@ -10,11 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
-import java.util.stream.StreamSupport;
 import org.gradeledge.standin.StandInHttp;
 
 /**
@@ -27,31 +22,37 @@
   public static final int EVENTS = 6;
 
   private static final long SLOW_NANOS = 150_000_000;
-  private static final int HALF = EVENTS / 2;
-  private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
 
   private final String id;
   private final EngineKind kind;
-  private final ServerSocket listener;
+  private volatile ServerSocket listener;
   private final List<Socket> open = new CopyOnWriteArrayList<>();
   private final List<SeenRequest> ran = new CopyOnWriteArrayList<>();
   private final List<String> freed = new CopyOnWriteArrayList<>();
   private final List<String> askedOfOthers = new CopyOnWriteArrayList<>();
   private final List<Integer> ranBefore = new CopyOnWriteArrayList<>(List.of(0));
-  private final AtomicInteger pieces = new AtomicInteger();
+  private final EngineTexts texts;
   private volatile long born = System.currentTimeMillis();
   private volatile EngineFault fault = EngineFault.NONE;
+  private volatile Optional<String> fatalBody = Optional.empty();
+  private volatile boolean down;
 
   /** Starts an engine on a free port. */
   public FleetEngine(String id, EngineKind kind) {
     this.id = id;
     this.kind = kind;
+    this.texts = new EngineTexts(id, kind, () -> address() + "/" + start());
+    this.listener = listen();
+  }
+
+  private ServerSocket listen() {
     try {
-      this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+      ServerSocket opened = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+      DaemonThread.start("engine", () -> accept(opened));
+      return opened;
     } catch (IOException e) {
       throw new UncheckedIOException("no port is free", e);
     }
-    DaemonThread.start("engine", this::accept);
   }
 
   /** Returns its id. */
@@ -74,6 +75,23 @@
     fault = next;
   }
 
+  /** From now on it crashes when it begins to run a request with a body, and stays down. */
+  public void crashOn(String body) {
+    fatalBody = Optional.of(body);
+  }
+
+  /** Returns whether it has crashed and not been started since. */
+  public boolean isDown() {
+    return down;
+  }
+
+  /** Starts after a crash, under the same id at another port; nothing of before is held. */
+  public void startAfterCrash() {
+    listener = listen();
+    down = false;
+    beginNextStart();
+  }
+
   /** Returns the requests that it ran, in order. */
   public List<SeenRequest> ran() {
     return ran;
@@ -95,8 +113,24 @@
    * of before is held or known.
    */
   public void startAgain() throws IOException {
+    beginNextStart();
+    resetAll();
+  }
+
+  private void beginNextStart() {
     born = Math.max(born + 1, System.currentTimeMillis());
     ranBefore.add(ran.size());
+  }
+
+  /** As a process that ends: nobody listens any more, and all connections are reset. */
+  private boolean crash() throws IOException {
+    down = true;
+    listener.close();
+    resetAll();
+    return false;
+  }
+
+  private void resetAll() throws IOException {
     for (Socket socket : open) {
       reset(socket);
     }
@@ -120,10 +154,10 @@
         service, address(), zone, state, born);
   }
 
-  private void accept() {
+  private void accept(ServerSocket opened) {
     try {
       while (true) {
-        Socket socket = listener.accept();
+        Socket socket = opened.accept();
         open.add(socket);
         DaemonThread.start("engine", () -> serve(socket));
       }
@@ -162,6 +196,9 @@
       return send(out, AnswerText.whole(request, 200, "", "{}"));
     }
     ran.add(request);
+    if (fatalBody.filter(request.body()::equals).isPresent()) {
+      return crash();
+    }
     return switch (fault) {
       case ANSWER_LOST -> reset(socket);
       case HANG -> hang(socket);
@@ -170,10 +207,10 @@
       case CUT -> cut(request, socket);
       case CUT_WITHOUT_LENGTH -> cutWithoutLength(request, socket);
       case OTHERS_ANSWER_FIRST ->
-          send(out, AnswerText.whole("another-id", 200, "", "not yours") + good(request));
+          send(out, AnswerText.whole("another-id", 200, "", "not yours") + texts.good(request));
       case EXTRA_ANSWER ->
-          send(out, good(request) + AnswerText.whole(request, 200, "", "once more"));
-      default -> send(out, good(request));
+          send(out, texts.good(request) + AnswerText.whole(request, 200, "", "once more"));
+      default -> send(out, texts.good(request));
     };
   }
 
@@ -184,46 +221,8 @@
     }
   }
 
-  private String good(SeenRequest request) {
-    return switch (kind) {
-      case PLAIN -> AnswerText.whole(request, 200, "X-Response-Stamp: s\r\n", body(request));
-      case STREAM -> AnswerText.head(request, CHUNKED) + events(request, EVENTS) + "0\r\n\r\n";
-      case STAGE -> AnswerText.whole(request, 200, "", made(request));
-    };
-  }
-
-  private String body(SeenRequest request) {
-    return "answer of " + id + " to " + request.header("X-Request-Id");
-  }
-
-  private String made(SeenRequest request) {
-    JsonNode items = StandInHttp.parse(AnswerText.bytes(request.body())).path("items");
-    return StreamSupport.stream(items.spliterator(), false)
-        .map(item -> "{\"handle\":\"" + handle() + "\"}")
-        .collect(Collectors.joining(",", "{\"items\":[", "]}"));
-  }
-
-  private String handle() {
-    return address() + "/" + start() + "-" + pieces.incrementAndGet();
-  }
-
-  private static String events(SeenRequest request, int last) {
-    String after = request.header("Last-Event-Id");
-    int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
-    return IntStream.rangeClosed(first, last)
-        .mapToObj(n -> AnswerText.chunk("id: " + n + "\ndata: piece " + n + "\n\n"))
-        .collect(Collectors.joining());
-  }
-
   private boolean cut(SeenRequest request, Socket socket) throws IOException {
-    String half =
-        kind == EngineKind.STREAM
-            ? AnswerText.head(request, CHUNKED)
-                + events(request, HALF)
-                + AnswerText.chunk("id: 99\ndata: pie")
-            : AnswerText.whole(request, 200, "X-Response-Stamp: s\r\n", body(request))
-                .replace("answer", "");
-    send(socket.getOutputStream(), half);
+    send(socket.getOutputStream(), texts.half(request));
     socket.shutdownOutput();
     return false;
   }
@@ -240,7 +239,7 @@
   }
 
   private static boolean slowly(SeenRequest request, OutputStream out) throws IOException {
-    send(out, AnswerText.head(request, CHUNKED));
+    send(out, AnswerText.head(request, EngineTexts.CHUNKED));
     for (int event = 1; event <= EVENTS; event++) {
       LockSupport.parkNanos(SLOW_NANOS);
       send(out, AnswerText.chunk("id: " + event + "\ndata: piece " + event + "\n\n"));
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -85,6 +85,16 @@
     }
   }
 
+  /** Ends all boxes at once, without a word; whatever only they knew is lost. */
+  void loseAllBoxes() {
+    loops.forEach(resources -> resources.disposeLater(Duration.ZERO, LIMIT).block(LIMIT));
+    loops.clear();
+    boxes.clear();
+    callerPorts.clear();
+    readyPorts.clear();
+    peerPorts.clear();
+  }
+
   RelayBox box(int index) {
     return boxes.get(index);
   }
@@ -94,8 +104,12 @@
   }
 
   HttpResponse<String> post(int box, String path, String... headers) throws Exception {
-    HttpRequest.BodyPublisher body = HttpRequest.BodyPublishers.ofString("a body");
-    return send(box, builder(box, path, headers).POST(body));
+    return postBody(box, path, "a body", headers);
+  }
+
+  HttpResponse<String> postBody(int box, String path, String body, String... headers)
+      throws Exception {
+    return send(box, builder(box, path, headers).POST(HttpRequest.BodyPublishers.ofString(body)));
   }
 
   int callerPort(int box) {
