Sight: which request is the same, and whether an upstream ended or only its connection was lost

Logs could not tell two hypotheses apart: ids differ with each try, and BROKEN stands for a reset as for an end. Each connection that is lost under a request is now followed by one new connection to that upstream, shared by all calls that it took along, and by a line with the request's fingerprint (a digest of account, method, host, path, body, taken only then). No decision rests on it yet.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -4,11 +4,14 @@
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -96,6 +99,28 @@
         .forEach(UpstreamConnection::breakOff);
   }
 
+  @Override
+  public void probe(UpstreamRecord target, Consumer<UpstreamProof> listener) {
+    bootstrap
+        .clone()
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(target.host(), target.port())
+        .addListener(
+            (ChannelFuture opened) -> {
+              opened.channel().close();
+              loop.execute(() -> listener.accept(proof(opened.cause())));
+            });
+  }
+
+  private static UpstreamProof proof(@Nullable Throwable cause) {
+    if (cause == null) {
+      return UpstreamProof.THERE;
+    }
+    boolean refused =
+        cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    return refused ? UpstreamProof.REFUSED : UpstreamProof.SILENT;
+  }
+
   /** Tells a listener of each answer after which an upstream closes its connection. */
   public void onClosing(Consumer<UpstreamRecord> listener) {
     this.closing = listener;
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
@@ -1,5 +1,6 @@
 package org.gradeledge.connection;
 
+import java.util.function.Consumer;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /**
@@ -30,4 +31,10 @@
    * lost, and a connection whose other end is no more may stay silent.
    */
   void breakOff(UpstreamRecord target);
+
+  /**
+   * Opens a connection to an upstream and closes it at once, for what that shows; the listener is
+   * called on the event loop, never before this returns.
+   */
+  void probe(UpstreamRecord target, Consumer<UpstreamProof> listener);
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -10,6 +10,7 @@
 import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.connection.PooledUpstreamCaller;
+import org.gradeledge.connection.UpstreamEnds;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.deployment.ServiceDefinition;
@@ -111,6 +112,7 @@
             cold,
             budget,
             caller,
+            new UpstreamEnds(caller),
             adapters.relay(),
             stageWork,
             metrics,
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -36,6 +36,7 @@
   private final UpstreamCandidates candidates;
   private final String service;
   private final SendHistory history;
+  private final RequestStanding standing;
   private @Nullable Attempt attempt;
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable AttemptWatch watch;
@@ -53,6 +54,7 @@
     this.request = admitted.request();
     this.route = admitted.route();
     this.history = new SendHistory(route);
+    this.standing = new RequestStanding(services, admitted);
     this.service = admitted.service();
     this.clock = new RequestClock(services.clock(), admitted.limitMillis(), route.targetMillis());
     StageTimeline timeline = new StageTimeline(clock);
@@ -183,6 +185,7 @@
       again(failure.name(), Refusal.UPSTREAMS_FULL, false);
       return;
     }
+    standing.broken(ended.upstream());
     boolean mayRun = history.mayRunAgain();
     history.mayHaveRun();
     if (mayRun) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.connection.UpstreamCaller;
+import org.gradeledge.connection.UpstreamEnds;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
@@ -25,6 +26,7 @@
  * @param cold limits what is sent to those that are cold
  * @param budget what may be sent again
  * @param caller sends requests to them
+ * @param ends tells whether one that broke a call off has ended
  * @param protocol how requests look on the wire
  * @param stages has stage work done
  * @param metrics counts
@@ -42,6 +44,7 @@
     ColdUpstreams cold,
     RetryBudget budget,
     UpstreamCaller caller,
+    UpstreamEnds ends,
     RelayProtocol protocol,
     StageWorkClient stages,
     RelayMetrics metrics,
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -3,9 +3,15 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /** Calls nobody; a test answers in the upstreams' place. */
@@ -69,6 +75,9 @@
   }
 
   private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+  private final Map<String, UpstreamProof> proofs = new ConcurrentHashMap<>();
+  private final Queue<Runnable> waitingProofs = new ConcurrentLinkedQueue<>();
+  private final Collection<UpstreamRecord> probed = new ConcurrentLinkedQueue<>();
 
   @Override
   public UpstreamCall call(UpstreamRecord target, OutgoingRequest request, CallListener listener) {
@@ -89,6 +98,31 @@
   @Override
   public void breakOff(UpstreamRecord target) {}
 
+  /** Answers with what the test has set for the upstream; refused where it set nothing. */
+  @Override
+  public void probe(UpstreamRecord target, Consumer<UpstreamProof> listener) {
+    probed.add(target);
+    UpstreamProof proof = proofs.getOrDefault(target.start(), UpstreamProof.REFUSED);
+    waitingProofs.add(() -> listener.accept(proof));
+  }
+
+  /** Sets what a probe of an upstream shows. */
+  public void setProof(UpstreamRecord target, UpstreamProof proof) {
+    proofs.put(target.start(), proof);
+  }
+
+  /** Answers all probes; must be called on the event loop. */
+  public void answerProbes() {
+    for (Runnable proof = waitingProofs.poll(); proof != null; proof = waitingProofs.poll()) {
+      proof.run();
+    }
+  }
+
+  /** Returns the upstreams that were probed. */
+  public Collection<UpstreamRecord> probed() {
+    return probed;
+  }
+
   /** Returns the next call, waiting for it. */
   public Call next() throws InterruptedException {
     Call call = calls.poll(10, TimeUnit.SECONDS);
