Stage work: a request whose pieces end their upstreams is made apart from the others, and given up after the third

The same cause in shared calls, found by reading: the pieces of a call that was lost were made again together, as long as retries lasted (CrashingPiecesTests, failed first: 26 calls lost with one request's pieces, 3 now).

Ways: all pieces of the lost call alone at once (certain, but each end of an engine for another reason would cost as many calls as it had requests); in halves (five ends for 40 pieces); apart from each other among others, and alone from the second end on. Kept: the last. In the test all that is lost after the first call are the guilty request's own pieces. The requesting box hears which upstreams ended, so that the quarantine adds up over returns. Batch, mesh format and architecture tests run; the whole set follows.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.gradeledge.connection.UpstreamCaller;
+import org.gradeledge.connection.UpstreamEnds;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
@@ -45,6 +46,7 @@
             builder.board,
             builder.budget,
             builder.caller,
+            new UpstreamEnds(builder.caller),
             builder.protocol,
             builder.events,
             builder.toCome,
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -9,6 +9,7 @@
 import org.gradeledge.connection.UpstreamCall;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.quarantine.Quarantine;
 
 /**
  * The pieces that wait for one service, and the calls that make them. An upstream that is free gets
@@ -22,7 +23,6 @@
   private static final double LIMIT_FACTOR = 2.5;
   private static final long LIMIT_EXTRA_MILLIS = 400;
   private static final double FULL_PART_OF_CALL = 0.6;
-  private static final long LOOK_AGAIN_MILLIS = 25;
 
   /**
    * An upstream fetches inputs as soon as a call's turn comes, which is at once where it is free. A
@@ -38,7 +38,8 @@
   private final BatchUpstreams upstreams;
   private final PieceRetries retries;
   private final QueueForecast forecast;
-  private boolean lookingAgain;
+  private final BrokenCalls broken;
+  private final DelayedLook lookAgain;
 
   BatchQueue(String service, BatchServices services, EventLoop loop) {
     this.service = service;
@@ -47,6 +48,8 @@
     this.held = new HeldResults(services.clock(), services.board());
     this.upstreams = new BatchUpstreams(service, services, held);
     this.retries = new PieceRetries(service, services);
+    this.lookAgain = new DelayedLook(loop, this::dispatch);
+    this.broken = new BrokenCalls(services.ends(), loop);
     this.forecast = new QueueForecast(service, services, waiting, upstreams);
   }
 
@@ -106,20 +109,7 @@
       called = callOne(limits.get(), now);
     }
     if (!waiting.isEmpty()) {
-      lookAgain();
-    }
-  }
-
-  private void lookAgain() {
-    if (!lookingAgain) {
-      lookingAgain = true;
-      loop.schedule(
-          () -> {
-            lookingAgain = false;
-            dispatch();
-          },
-          LOOK_AGAIN_MILLIS,
-          TimeUnit.MILLISECONDS);
+      lookAgain.schedule();
     }
   }
 
@@ -200,6 +190,14 @@
     } else if (failure.map(CallFailure::blamesUpstream).orElse(true)) {
       services.board().failed(call.target().upstream(), !sent || failure.isEmpty(), why);
     }
+    if (failure.filter(CallFailure.BROKEN::equals).isPresent()) {
+      broken.look(call, () -> tryAgainAndDispatch(call, sent, why));
+    } else {
+      tryAgainAndDispatch(call, sent, why);
+    }
+  }
+
+  private void tryAgainAndDispatch(BatchCall call, boolean sent, String why) {
     tryAgain(call, sent, why);
     dispatch();
   }
@@ -258,6 +256,10 @@
   }
 
   private void tryAgain(List<StagePiece> pieces, boolean sent, String why, UpstreamRecord from) {
+    pieces.stream()
+        .map(StagePiece::group)
+        .filter(group -> group.endedUpstreams() >= Quarantine.ENDS_OF_VERDICT)
+        .forEach(group -> end(group, StageOutcome.FAILED));
     List<StagePiece> wanted = pieces.stream().filter(piece -> !piece.group().isOver()).toList();
     if (retries.allowed(wanted, sent, why, from)) {
       waiting.addAll(wanted);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.gradeledge.connection.UpstreamCaller;
+import org.gradeledge.connection.UpstreamEnds;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -30,6 +31,7 @@
     LoadBoard board,
     RetryBudget budget,
     UpstreamCaller caller,
+    UpstreamEnds ends,
     StageProtocol protocol,
     EventLog events,
     PiecesToCome toCome,
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BrokenCalls.java
@@ -0,0 +1,61 @@
+package org.gradeledge.batch;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.connection.UpstreamEnds;
+import org.gradeledge.connection.UpstreamProof;
+
+/**
+ * Looks, before the pieces of a call that was lost are made again, whether the upstream has ended
+ * under them. Confined to the event loop.
+ */
+final class BrokenCalls {
+
+  /**
+   * An upstream that has ended refuses a connection at once, within the way there and back; what is
+   * still silent then is not waited for.
+   */
+  private static final long PATIENCE_MILLIS = 60;
+
+  private final UpstreamEnds ends;
+  private final EventLoop loop;
+
+  BrokenCalls(UpstreamEnds ends, EventLoop loop) {
+    this.ends = ends;
+    this.loop = loop;
+  }
+
+  /** Looks, and runs what follows once. */
+  void look(BatchCall call, Runnable then) {
+    Once following = new Once(then);
+    ends.prove(
+        call.target().upstream(),
+        proof -> {
+          if (proof == UpstreamProof.REFUSED) {
+            String start = call.target().upstream().start();
+            call.pieces().forEach(piece -> piece.group().upstreamEnded(start));
+          }
+          following.run();
+        });
+    loop.schedule(following, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** An action that is run by whoever comes first. */
+  private static final class Once implements Runnable {
+
+    private final Runnable action;
+    private boolean done;
+
+    Once(Runnable action) {
+      this.action = action;
+    }
+
+    @Override
+    public void run() {
+      if (!done) {
+        done = true;
+        action.run();
+      }
+    }
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/CallLoad.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/CallLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The pieces that are put together for one call, within the number of pieces and the room for
@@ -11,13 +12,26 @@
  * until the last part is made, and where room is what binds, fewer groups are done in the same
  * time. The most urgent group goes in parts where it does not fit, so that large groups are not
  * passed over for ever by small ones, and so does one that was begun.
+ *
+ * <p>Groups under which an upstream ended go apart from each other, so that the one that ends
+ * upstreams is told from those that were in its call; one under which two have ended goes alone.
+ * They are not all put alone at once, as the end of an upstream mostly has another cause, and calls
+ * that are not full are what a service has too few of.
  */
 final class CallLoad {
 
+  /**
+   * By chance this happens to one group in some thousands, even where an upstream ends a minute.
+   */
+  private static final int ENDS_TO_GO_ALONE = 2;
+
   private final int mostPieces;
   private long roomBytes;
   private final List<StagePiece> pieces = new ArrayList<>();
 
+  /** The group in the call under which upstreams have ended. */
+  private @Nullable GroupInProgress suspect;
+
   CallLoad(int mostPieces, long roomBytes) {
     this.mostPieces = mostPieces;
     this.roomBytes = roomBytes;
@@ -25,12 +39,28 @@
 
   /** Puts in what fits of a group, the most urgent group first. */
   void offer(GroupInProgress group, List<StagePiece> waiting) {
+    if (!mayShare(group)) {
+      return;
+    }
     int fitting = Math.min(waiting.size(), fitting(group.group().resultBytes()));
     boolean begun = waiting.size() < group.group().pieces();
     if (fitting == waiting.size() || begun || pieces.isEmpty()) {
       pieces.addAll(waiting.subList(0, fitting));
       roomBytes -= fitting * group.group().resultBytes();
+      if (fitting > 0 && group.endedUpstreams() > 0) {
+        suspect = group;
+      }
+    }
+  }
+
+  private boolean mayShare(GroupInProgress group) {
+    if (pieces.isEmpty()) {
+      return true;
     }
+    boolean alone = group.endedUpstreams() >= ENDS_TO_GO_ALONE;
+    boolean besideOneAlone = suspect != null && suspect.endedUpstreams() >= ENDS_TO_GO_ALONE;
+    boolean bothSuspects = suspect != null && group.endedUpstreams() > 0;
+    return !alone && !besideOneAlone && !bothSuspects;
   }
 
   /** Returns the pieces of the call, most urgent first; empty where none fits. */
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -2,8 +2,10 @@
 
 import java.util.Arrays;
 import java.util.BitSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** A group whose pieces are being made. Confined to the event loop. */
@@ -24,6 +26,7 @@
   private long lastCallNanos;
   private int missing;
   private final BitSet withInputs = new BitSet();
+  private final Set<String> endedUpstreams = new LinkedHashSet<>();
   private boolean over;
 
   GroupInProgress(
@@ -49,6 +52,16 @@
     return zone;
   }
 
+  /** Notes that an upstream ended while it made a piece. */
+  void upstreamEnded(String start) {
+    endedUpstreams.add(start);
+  }
+
+  /** Returns how many upstreams have ended while they made pieces. */
+  int endedUpstreams() {
+    return endedUpstreams.size();
+  }
+
   /** Notes when and where a piece is made, so that the others are made nearby. */
   void called(String firstZone, long nowNanos) {
     lastCallNanos = nowNanos;
@@ -134,6 +147,8 @@
   private void end(StageOutcome outcome, List<String> made, long comeBackMillis) {
     over = true;
     long waited = Math.max(0, lastCallNanos - startNanos) / 1_000_000;
-    listener.ended(new StageGroupResult(outcome, made, box, comeBackMillis, waited));
+    listener.ended(
+        new StageGroupResult(
+            outcome, made, box, comeBackMillis, waited, List.copyOf(endedUpstreams)));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroupResult.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/StageGroupResult.java
@@ -10,6 +10,7 @@
  * @param box the box that made the calls
  * @param comeBackMillis when asking again may help, where it was not made
  * @param waitedMillis how long its pieces waited, until the last call for them began
+ * @param endedUpstreams starts of upstreams that ended while they made its pieces
  * @since 0.2
  */
 public record StageGroupResult(
@@ -17,4 +18,22 @@
     List<String> handles,
     String box,
     long comeBackMillis,
-    long waitedMillis) {}
+    long waitedMillis,
+    List<String> endedUpstreams) {
+
+  /** Copies the lists. */
+  public StageGroupResult {
+    handles = List.copyOf(handles);
+    endedUpstreams = List.copyOf(endedUpstreams);
+  }
+
+  /** Creates one under whose pieces no upstream has ended. */
+  public StageGroupResult(
+      StageOutcome outcome,
+      List<String> handles,
+      String box,
+      long comeBackMillis,
+      long waitedMillis) {
+    this(outcome, handles, box, comeBackMillis, waitedMillis, List.of());
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/StageGroupResultFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/StageGroupResultFormat.java
@@ -1,6 +1,7 @@
 package org.gradeledge.mesh;
 
 import java.io.IOException;
+import java.util.List;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageOutcome;
 import org.gradeledge.peer.MessageFields;
@@ -11,24 +12,32 @@
 /** Messages of the type {@link StageGroupResult}, as maps. */
 final class StageGroupResultFormat implements MessageFormat<StageGroupResult> {
 
-  private static final int FIELDS = 5;
+  private static final int FIELDS = 6;
   private static final String OUTCOME = "outcome";
   private static final String HANDLES = "handles";
   private static final String BOX = "box";
   private static final String COME_BACK_MILLIS = "comeBackMillis";
   private static final String WAITED_MILLIS = "waitedMillis";
+  private static final String ENDED_UPSTREAMS = "endedUpstreams";
 
   @Override
   public void write(MessagePacker packer, StageGroupResult message) throws IOException {
     packer.packMapHeader(FIELDS);
     packer.packString(OUTCOME).packString(message.outcome().name());
-    packer.packString(HANDLES).packArrayHeader(message.handles().size());
-    for (String each : message.handles()) {
-      packer.packString(each);
-    }
+    packer.packString(HANDLES);
+    write(packer, message.handles());
     packer.packString(BOX).packString(message.box());
     packer.packString(COME_BACK_MILLIS).packLong(message.comeBackMillis());
     packer.packString(WAITED_MILLIS).packLong(message.waitedMillis());
+    packer.packString(ENDED_UPSTREAMS);
+    write(packer, message.endedUpstreams());
+  }
+
+  private static void write(MessagePacker packer, List<String> texts) throws IOException {
+    packer.packArrayHeader(texts.size());
+    for (String text : texts) {
+      packer.packString(text);
+    }
   }
 
   @Override
@@ -39,6 +48,7 @@
         fields.texts(HANDLES),
         fields.text(BOX),
         fields.number(COME_BACK_MILLIS),
-        fields.number(WAITED_MILLIS));
+        fields.number(WAITED_MILLIS),
+        fields.textsIfGiven(ENDED_UPSTREAMS));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/MessageFields.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/MessageFields.java
@@ -63,6 +63,11 @@
     return list(name, String.class);
   }
 
+  /** Returns a list of texts, empty where the field is missing, as in messages of older boxes. */
+  public List<String> textsIfGiven(String name) {
+    return values.containsKey(name) ? texts(name) : List.of();
+  }
+
   /** Returns a list of records that are written as maps. */
   public List<MessageFields> records(String name) {
     return list(name, MessageFields.class);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -112,6 +112,7 @@
 
   private void stagesFailed(int stage, StageGroupResult result) {
     outcome.comeBackAfter(result.comeBackMillis());
+    standing.stagesEnded(result.endedUpstreams());
     finish(Refusal.STAGES_FAILED, "stage " + stage + " " + result.outcome());
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestStanding.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestStanding.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.gradeledge.connection.UpstreamProof;
@@ -141,6 +142,11 @@
     }
   }
 
+  /** Notes that upstreams ended while they made the pieces of a stage that was not made. */
+  void stagesEnded(List<String> starts) {
+    starts.forEach(start -> quarantine.endedUnder(fingerprint(), start));
+  }
+
   private boolean isKnown() {
     return quarantine.knowsShape(identity.shape());
   }
