Tests of one request under which upstreams end, in virtual time; a clock that counts suspended time

The clock compares the time of day with the steady clock at each look and asks the boot clock only where the two have parted (SuspensionAwareClockTests: steps of the time of day move nothing, suspensions are counted at the first look, any order of both stays within 20 ms of the true time).

--- a/gradeledge-core/src/main/java/org/gradeledge/time/MonotonicClock.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/time/MonotonicClock.java
@@ -1,7 +1,8 @@
 package org.gradeledge.time;
 
 /**
- * A clock that never goes back and goes on while the process is frozen.
+ * A clock that never goes back and goes on while the process is frozen, and while the machine is
+ * suspended.
  *
  * @since 0.1
  */
@@ -13,6 +14,6 @@
 
   /** Returns the clock of the machine. */
   static MonotonicClock system() {
-    return System::nanoTime;
+    return SuspensionAwareClock.ofMachine();
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
@@ -0,0 +1,171 @@
+package org.gradeledge.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gradeledge.relay.RelayInVirtualTime.upstream;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.FakeUpstreamCaller;
+import org.gradeledge.connection.UpstreamProof;
+import org.gradeledge.deployment.Deployments;
+import org.gradeledge.deployment.Repeatability;
+import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.deployment.StageWork;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of one request under which upstreams end. */
+class QuarantinedRequestTests {
+
+  private static final List<Integer> NO_PIECES = List.of();
+  private static final RouteDefinition PLAIN =
+      Deployments.route(RelayInVirtualTime.HOST, "/path/", Repeatability.REPEATABLE);
+  private static final RouteDefinition STAGED =
+      Deployments.route(
+          RelayInVirtualTime.HOST,
+          "/path/",
+          Repeatability.REPEATABLE,
+          List.of(new StageWork("service", List.of(), 1)));
+
+  private final RelayInVirtualTime box =
+      new RelayInVirtualTime(PLAIN, upstream(1), upstream(2), upstream(3));
+
+  @Test
+  void oneThatIsHeldBackIsRefusedAtOnceAndToldForHowLong() {
+    box.trials.untilNext = Optional.of(Duration.ofMinutes(9));
+    endElsewhere(box, "a", "b", "c");
+
+    box.send("r1", NO_PIECES);
+
+    assertThat(box.answers).containsExactly("QUARANTINED 540000");
+    assertThat(box.caller.isQuiet()).isTrue();
+  }
+
+  @Test
+  void noStageWorkIsBegunForIt() {
+    RelayInVirtualTime staged = new RelayInVirtualTime(STAGED, upstream(1));
+    endElsewhere(staged, "a", "b", "c");
+
+    staged.send("r1", List.of(2));
+
+    assertThat(staged.stages.groups).isEmpty();
+    assertThat(staged.answers).containsExactly("QUARANTINED 3600000");
+  }
+
+  @Test
+  void stageWorkThatWaitsIsGivenUpAtTheMomentOfTheVerdict() {
+    RelayInVirtualTime staged = new RelayInVirtualTime(STAGED, upstream(1));
+    staged.send("r1", List.of(2));
+    assertThat(staged.stages.groups).hasSize(1);
+
+    endElsewhere(staged, "a", "b", "c");
+
+    assertThat(staged.answers).containsExactly("QUARANTINED 3600000");
+    assertThat(staged.stages.cancelled).contains("service");
+    assertThat(staged.caller.isQuiet()).isTrue();
+  }
+
+  @Test
+  void theFirstEndUnderARequestDoesNotHoldItUp() throws Exception {
+    box.send("r1", NO_PIECES);
+    breakOff(box.caller.next());
+
+    assertThat(box.caller.next().target()).isEqualTo(upstream(2));
+    assertThat(box.answers).isEmpty();
+  }
+
+  @Test
+  void oneUnderWhichOthersHaveEndedIsSentOnOnlyOnceItIsKnownWhetherThisIsOneMore()
+      throws Exception {
+    endElsewhere(box, "a", "b");
+    box.send("r1", NO_PIECES);
+    breakOff(box.caller.next());
+    assertThat(box.caller.isQuiet()).isTrue();
+
+    box.caller.answerProbes();
+    box.run();
+
+    assertThat(box.caller.isQuiet()).isTrue();
+    assertThat(box.answers).containsExactly("BROKEN ");
+    assertThat(box.quarantine.bars(box.fingerprint())).isTrue();
+  }
+
+  @Test
+  void whereOnlyTheConnectionWasLostItIsSentToAnother() throws Exception {
+    endElsewhere(box, "a", "b");
+    box.caller.setProof(upstream(1), UpstreamProof.THERE);
+    box.send("r1", NO_PIECES);
+    breakOff(box.caller.next());
+
+    box.caller.answerProbes();
+    box.run();
+
+    FakeUpstreamCaller.Call second = box.caller.next();
+    assertThat(second.target()).isEqualTo(upstream(2));
+    second.answer(200, "ok");
+    assertThat(box.answers).containsExactly("200");
+    assertThat(box.quarantine.endsUnder(box.fingerprint())).isZero();
+  }
+
+  /** A box that is cut off takes nobody to have ended. */
+  @Test
+  void anUpstreamThatIsSilentHasNotEnded() throws Exception {
+    box.caller.setProof(upstream(1), UpstreamProof.SILENT);
+    box.send("r1", NO_PIECES);
+    breakOff(box.caller.next());
+    box.caller.answerProbes();
+
+    assertThat(box.quarantine.endsUnder(box.fingerprint())).isZero();
+  }
+
+  @Test
+  void aTrialIsOneSendAndAWholeAnswerLetsTheRequestGo() throws Exception {
+    endElsewhere(box, "a", "b", "c");
+    box.trials.untilNext = Optional.of(Duration.ZERO);
+    box.trials.granted = true;
+
+    box.send("r1", NO_PIECES);
+    box.caller.next().answer(200, "ok");
+
+    assertThat(box.answers).containsExactly("200");
+    assertThat(box.quarantine.bars(box.fingerprint())).isFalse();
+  }
+
+  @Test
+  void aTrialThatEndsItsUpstreamIsNotFollowedByAnotherSend() throws Exception {
+    endElsewhere(box, "a", "b", "c");
+    box.trials.untilNext = Optional.of(Duration.ZERO);
+    box.trials.granted = true;
+    box.send("r1", NO_PIECES);
+    breakOff(box.caller.next());
+    box.caller.answerProbes();
+    box.run();
+
+    assertThat(box.caller.isQuiet()).isTrue();
+    assertThat(box.answers).containsExactly("BROKEN ");
+  }
+
+  @Test
+  void aTrialThatIsGivenToAnotherBoxIsARefusal() {
+    endElsewhere(box, "a", "b", "c");
+    box.trials.untilNext = Optional.of(Duration.ZERO);
+
+    box.send("r1", NO_PIECES);
+
+    assertThat(box.answers).containsExactly("QUARANTINED 0");
+    assertThat(box.caller.isQuiet()).isTrue();
+  }
+
+  private void breakOff(FakeUpstreamCaller.Call call) {
+    call.fail(CallFailure.BROKEN);
+    box.run();
+  }
+
+  private static void endElsewhere(RelayInVirtualTime relay, String... starts) {
+    for (String start : starts) {
+      relay.quarantine.endedUnder(relay.fingerprint(), start);
+    }
+    relay.run();
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/RelayInVirtualTime.java
@@ -0,0 +1,209 @@
+package org.gradeledge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.connection.ConnectionReuse;
+import org.gradeledge.connection.FakeUpstreamCaller;
+import org.gradeledge.connection.OutgoingRequest;
+import org.gradeledge.connection.UpstreamEnds;
+import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.deployment.Deployments;
+import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLogs;
+import org.gradeledge.quarantine.Quarantine;
+import org.gradeledge.quarantine.RequestFingerprint;
+import org.gradeledge.quarantine.RequestIdentity;
+import org.gradeledge.quarantine.Trials;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.ColdUpstreams;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.time.MonotonicClock;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** The relay of one box between a caller and upstreams that a test plays, in virtual time. */
+final class RelayInVirtualTime implements CallerResponse {
+
+  static final String HOST = "host";
+  static final String PATH = "/path/x";
+  private static final byte[] BODY = "a body".getBytes(StandardCharsets.UTF_8);
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private long nowMillis = 1_000_000;
+  private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
+  final FakeUpstreamCaller caller = new FakeUpstreamCaller();
+  final FakeStageWorkClient stages = new FakeStageWorkClient();
+  final Quarantine quarantine = new Quarantine(clock);
+  final HandMadeTrials trials = new HandMadeTrials();
+  final List<String> answers = new ArrayList<>();
+  private final RelayHandler handler;
+
+  /** Trials as a test grants them. */
+  static final class HandMadeTrials implements Trials {
+
+    Optional<Duration> untilNext = Optional.empty();
+    boolean granted;
+
+    @Override
+    public Optional<Duration> untilNext(RequestFingerprint fingerprint) {
+      return untilNext;
+    }
+
+    @Override
+    public Mono<Boolean> take(RequestFingerprint fingerprint) {
+      return Mono.just(granted);
+    }
+  }
+
+  RelayInVirtualTime(RouteDefinition route, UpstreamRecord... known) {
+    channel.freezeTime();
+    DeploymentRegistry deployments =
+        new DeploymentRegistry(
+            document -> Either.right(Deployments.of(1, route)), EventLogs.silent());
+    deployments.offer(new byte[1], "test");
+    UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
+    upstreams.replaceAll(1, List.of(known));
+    LoadBoard board = new LoadBoard(clock, EventLogs.silent());
+    RelayServices services =
+        new RelayServices(
+            "zone",
+            channel.eventLoop(),
+            clock,
+            deployments,
+            upstreams,
+            board,
+            (candidates, demand) -> candidates.stream().findFirst(),
+            new ColdUpstreams(clock, new Random(1), () -> 1, service -> Optional.empty()),
+            new RetryBudget(clock, 1, 100, Duration.ofSeconds(10), () -> 1),
+            caller,
+            new UpstreamEnds(caller),
+            quarantine,
+            trials,
+            new PlainProtocol(),
+            stages,
+            new RelayMetrics(),
+            EventLogs.silent());
+    this.handler = new RelayHandler(services);
+  }
+
+  static UpstreamRecord upstream(int number) {
+    return new UpstreamRecord("u" + number, "service", "10.0.0.1", number, "zone", 8, false);
+  }
+
+  /** Returns what names the request that {@link #send} sends. */
+  RequestFingerprint fingerprint() {
+    return new RequestIdentity("account", "POST", HOST, PATH, BODY).fingerprint();
+  }
+
+  /** A caller sends the same request as always. */
+  void send(String id, List<Integer> pieces) {
+    handler.handle(
+        new RelayRequest(
+            id,
+            HttpMethod.POST,
+            PATH,
+            PATH,
+            HOST,
+            new DefaultHttpHeaders(),
+            BODY,
+            Optional.empty(),
+            Optional.of("known-key"),
+            Optional.empty(),
+            List.of(),
+            0,
+            pieces,
+            Optional.of("piece-key")),
+        this);
+    run();
+  }
+
+  RelayHandler handler() {
+    return handler;
+  }
+
+  /** Lets time pass and does what is due. */
+  void pass(long millis) {
+    nowMillis += millis;
+    channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    run();
+  }
+
+  /** Time goes by that no timer counts. */
+  void suspend(long millis) {
+    nowMillis += millis;
+  }
+
+  void run() {
+    channel.runPendingTasks();
+  }
+
+  @Override
+  public void refuse(Refusal refusal, long retryAfterMillis) {
+    answers.add(refusal + " " + (refusal.notRun() ? retryAfterMillis : ""));
+  }
+
+  @Override
+  public void answer(int status, HttpHeaders headers, ByteBuf body) {
+    answers.add(String.valueOf(status));
+    body.release();
+  }
+
+  @Override
+  public void beginStream(int status, HttpHeaders headers) {
+    answers.add("stream");
+  }
+
+  @Override
+  public void part(ByteBuf events) {
+    events.release();
+  }
+
+  @Override
+  public void endStream() {
+    answers.add("end");
+  }
+
+  @Override
+  public void abort() {
+    answers.add("abort");
+  }
+
+  /** Requests go as they are; no answer says that the request was not run. */
+  private static final class PlainProtocol implements RelayProtocol {
+
+    @Override
+    public Either<String, RelayRequest> read(HttpServerRequest request, byte[] body) {
+      return Either.left("nothing is read in this test");
+    }
+
+    @Override
+    public OutgoingRequest encode(
+        RelayRequest request, UpstreamRecord target, AttemptFacts facts, ConnectionReuse reuse) {
+      return new OutgoingRequest(
+          request.method(),
+          request.uri(),
+          request.headers(),
+          request.body(),
+          Optional.empty(),
+          reuse);
+    }
+
+    @Override
+    public AnswerFacts readAnswer(int status, HttpHeaders headers) {
+      return new AnswerFacts(false, false);
+    }
+  }
+}
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/time/SuspensionAwareClockTests.java
@@ -0,0 +1,139 @@
+package org.gradeledge.time;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+
+/** A machine whose clocks are set by hand. */
+class SuspensionAwareClockTests {
+
+  private static final long HUNDREDTH = 10_000_000;
+
+  private long steadyNanos = 77_000_000_000L;
+  private long dayMillis = TimeUnit.DAYS.toMillis(20_000);
+  private long bootNanos = 123_456_000_000_000L;
+  private boolean bootUnreadable;
+  private int bootLooks;
+  private final SuspensionAwareClock clock =
+      new SuspensionAwareClock(() -> steadyNanos, () -> dayMillis, this::boot);
+  private final List<Duration> told = new ArrayList<>();
+
+  SuspensionAwareClockTests() {
+    clock.onSuspended(told::add);
+  }
+
+  @Test
+  void goesOnWithTheSteadyClockWithoutALookAtTheBootClock() {
+    long start = clock.nanos();
+    int looks = bootLooks;
+
+    pass(50_000);
+
+    assertThat(clock.nanos() - start).isEqualTo(millis(50_000));
+    assertThat(bootLooks).isEqualTo(looks);
+  }
+
+  @Test
+  void theFirstLookAfterWakingCountsTheSuspension() {
+    long start = clock.nanos();
+    pass(100);
+    suspend(10_000);
+
+    assertThat(clock.nanos() - start).isEqualTo(millis(10_100));
+
+    pass(100);
+    assertThat(clock.nanos() - start).isEqualTo(millis(10_200));
+    assertThat(told).containsExactly(Duration.ofSeconds(10));
+  }
+
+  @Test
+  void aStepOfTheTimeOfDayMovesNothing() {
+    long start = clock.nanos();
+    dayMillis += 2_000;
+    assertThat(clock.nanos()).isEqualTo(start);
+    dayMillis -= 5_000;
+    assertThat(clock.nanos()).isEqualTo(start);
+    assertThat(told).isEmpty();
+  }
+
+  @Test
+  void aSuspensionWithAStepOfTheTimeOfDayIsCountedAsWhatItWas() {
+    long start = clock.nanos();
+    suspend(4_000);
+    dayMillis -= 1_500;
+
+    assertThat(clock.nanos() - start).isEqualTo(millis(4_000));
+  }
+
+  @Test
+  void whereTheBootClockCannotBeReadNothingIsTakenForASuspension() {
+    bootUnreadable = true;
+    long start = clock.nanos();
+
+    suspend(4_000);
+
+    assertThat(clock.nanos()).isEqualTo(start);
+  }
+
+  @Property(tries = 300, shrinking = ShrinkingMode.OFF)
+  void whateverHappensItNeverGoesBackAndIsNearTheTrueTime(@ForAll long seed) {
+    SuspensionAwareClockTests machine = new SuspensionAwareClockTests();
+    Random random = new Random(seed);
+    long start = machine.clock.nanos();
+    long bootStart = machine.bootNanos;
+    long last = start;
+    for (int step = 0; step < 60; step++) {
+      switch (random.nextInt(4)) {
+        case 0 -> machine.suspend(500 + random.nextInt(20_000));
+        case 1 -> machine.dayMillis += random.nextInt(8_000) - 4_000;
+        default -> machine.pass(random.nextInt(3_000));
+      }
+      long now = machine.clock.nanos();
+      assertThat(now).isGreaterThanOrEqualTo(last);
+      last = now;
+    }
+    long off = Math.abs((last - start) - (machine.bootNanos - bootStart));
+    assertThat(off).isLessThanOrEqualTo(millis(20));
+  }
+
+  @Test
+  void readsTheFirstFigureOfTheFile() {
+    assertThat(UptimeFile.parse("1301.08 6510.28\n")).hasValue(1_301_080_000_000L);
+    assertThat(UptimeFile.parse("0.05 0.00\n")).hasValue(50_000_000L);
+    for (String other : List.of("", "x", "1301", "13.1 2", "-1.00 2", "1e3.00 1", "1.00.00 2")) {
+      assertThat(UptimeFile.parse(other)).as(other).isEmpty();
+    }
+    assertThat(new UptimeFile("/nowhere").nanos()).isEmpty();
+  }
+
+  private OptionalLong boot() {
+    bootLooks++;
+    return bootUnreadable
+        ? OptionalLong.empty()
+        : OptionalLong.of(bootNanos / HUNDREDTH * HUNDREDTH);
+  }
+
+  private void pass(long millis) {
+    steadyNanos += millis(millis);
+    dayMillis += millis;
+    bootNanos += millis(millis);
+  }
+
+  private void suspend(long millis) {
+    dayMillis += millis;
+    bootNanos += millis(millis);
+  }
+
+  private static long millis(long count) {
+    return TimeUnit.MILLISECONDS.toNanos(count);
+  }
+}
