Suspended machines: deadlines, tables and resting connections go by the true time from the first look on

Cause: all that ages rested on the steady clock, which does not count suspended time; after ten seconds of it a box took what it knew for as fresh as before, its timers ran on as if nothing had been, and connections that others had closed were used again. Now the clock counts it; on noticing, the box gives up what is past its time, reads its tables anew, and says so (a line, a counter).

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.time.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,6 +38,7 @@
   private static final int CHUNK_BYTES = 64 * 1024;
 
   private final EventLoop loop;
+  private final MonotonicClock clock;
   private final Bootstrap bootstrap;
   private final ToIntFunction<UpstreamRecord> connectionLimit;
   private final Map<String, UpstreamConnections> byUpstream = new HashMap<>();
@@ -48,8 +50,10 @@
    *
    * @param connectionLimit most connections that this box may have to an upstream
    */
-  public PooledUpstreamCaller(EventLoop loop, ToIntFunction<UpstreamRecord> connectionLimit) {
+  public PooledUpstreamCaller(
+      EventLoop loop, ToIntFunction<UpstreamRecord> connectionLimit, MonotonicClock clock) {
     this.loop = loop;
+    this.clock = clock;
     this.connectionLimit = connectionLimit;
     this.bootstrap =
         new Bootstrap()
@@ -129,7 +133,7 @@
   private void connect(
       UpstreamRecord target, UpstreamConnections connections, CallInProgress call) {
     UpstreamConnection connection =
-        new UpstreamConnection(connections, () -> closing.accept(target));
+        new UpstreamConnection(connections, () -> closing.accept(target), clock);
     connections.opened();
     connections.dialling(call);
     ChannelFuture connecting =
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.gradeledge.time.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,16 +43,19 @@
   private boolean reusable = true;
   private boolean reset;
   private long keptMillis = DEFAULT_KEPT_MILLIS;
-  private long restingSince = System.nanoTime();
+  private final MonotonicClock clock;
+  private long restingSince;
 
   /**
    * Creates a connection that is not open yet.
    *
    * @param onClosing run where an answer says that the upstream closes the connection
    */
-  UpstreamConnection(UpstreamConnections owner, Runnable onClosing) {
+  UpstreamConnection(UpstreamConnections owner, Runnable onClosing, MonotonicClock clock) {
     this.owner = owner;
     this.onClosing = onClosing;
+    this.clock = clock;
+    this.restingSince = clock.nanos();
   }
 
   @Override
@@ -86,7 +90,7 @@
   }
 
   long idleMillis() {
-    return (System.nanoTime() - restingSince) / 1_000_000;
+    return (clock.nanos() - restingSince) / 1_000_000;
   }
 
   void close() {
@@ -185,7 +189,7 @@
 
   /** Keeps the connection once all bytes that came together with the answer have been looked at. */
   private void finish() {
-    restingSince = System.nanoTime();
+    restingSince = clock.nanos();
     reusable &= written == null || written.isSuccess();
     if (!reusable) {
       close();
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -83,6 +83,20 @@
     }
   }
 
+  /**
+   * Calls anew after the machine was suspended: what is known is older than it seems, the timer of
+   * a call that is under way counts none of that time, and its connection may be gone.
+   */
+  public void wokeUp() {
+    if (calls == 0) {
+      return;
+    }
+    if (pausing != null) {
+      pausing.cancel(false);
+    }
+    next();
+  }
+
   private long callMillis() {
     return (clock.nanos() - calledNanos) / 1_000_000;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
@@ -126,6 +126,13 @@
     verdicts.start();
   }
 
+  /** Reads all tables anew after the machine was suspended. */
+  void wokeUp() {
+    configurations.wokeUp();
+    upstreams.wokeUp();
+    verdicts.wokeUp();
+  }
+
   private Duration verdictWait() {
     return isReader() ? VERDICT_WAIT : Duration.ZERO;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -1,7 +1,7 @@
 package org.gradeledge.node;
 
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -34,8 +34,8 @@
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.PrefixAffinityChooser;
 import org.gradeledge.time.MonotonicClock;
+import org.gradeledge.time.SuspensionAwareClock;
 import reactor.core.publisher.Mono;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
 /**
@@ -53,9 +53,6 @@
   /** Boxes that write a verdict where the one that reached it is gone: one and a spare. */
   private static final int VERDICT_WRITERS = 2;
 
-  private static final int HTTP_OK = 200;
-  private static final int HTTP_UNAVAILABLE = 503;
-
   private final RelaySettings settings;
   private final LoopResources loops;
   private final EventLoop loop;
@@ -69,6 +66,7 @@
   private final RelayHandler handler;
   private final RelayServer server;
   private final PlatformFollowers followers;
+  private final BoxPages pages;
   private final PlannedStop stop;
 
   /** Puts the box together; it does not listen yet. */
@@ -78,7 +76,7 @@
     this.loops = loops;
     this.events = events;
     this.loop = loops.onClient(false).next();
-    MonotonicClock clock = MonotonicClock.system();
+    SuspensionAwareClock clock = SuspensionAwareClock.ofMachine();
     this.deployments = new DeploymentRegistry(adapters.configurations(), events);
     this.upstreams = new UpstreamRegistry(events);
     LoadBoard board = new LoadBoard(clock, events);
@@ -88,7 +86,7 @@
     this.followers = newFollowers(adapters, verdicts, clock);
     RetryBudget budget = newRetryBudget(clock);
     ColdUpstreams cold = newColdUpstreams(clock);
-    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit);
+    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit, clock);
     upstreams.onEnd(caller::end);
     upstreams.onReplaced(caller::breakOff);
     caller.onClosing(upstreams::closesConnections);
@@ -123,10 +121,22 @@
             metrics,
             events);
     this.handler = new RelayHandler(services);
+    this.pages = new BoxPages(loops, metrics, boxMetrics);
     this.server = new RelayServer(handler, services, loops);
+    clock.onSuspended(length -> loop.execute(() -> wokeUp(length)));
     this.stop = new PlannedStop(settings.grace(), server, handler, mesh, loop, events);
   }
 
+  /**
+   * What timers would have done meanwhile is done now; peers that are silent go at the next beat.
+   */
+  private void wokeUp(Duration suspended) {
+    events.change("suspended").with("ms", suspended.toMillis()).write();
+    metrics.suspended();
+    handler.wokeUp();
+    followers.wokeUp();
+  }
+
   private VerdictKeeper newVerdictKeeper(Quarantine quarantine, RelayAdapters adapters) {
     return new VerdictKeeper(
         quarantine,
@@ -201,9 +211,9 @@
         .write();
     return server
         .listen(settings.caller())
-        .then(listenReady())
+        .then(pages.listenReady(settings.ready(), this::ready))
         .then(mesh.start(settings.peer()))
-        .then(listenMetrics())
+        .then(pages.listenMetrics(settings.metrics()))
         .then(Mono.fromRunnable(() -> loop.execute(followers::start)));
   }
 
@@ -220,34 +230,6 @@
     return deployments.current().isPresent() && upstreams.revision() >= 0 && !stop.hasBegun();
   }
 
-  private Mono<?> listenReady() {
-    return HttpServer.create()
-        .runOn(loops, false)
-        .bindAddress(settings::ready)
-        .handle(
-            (request, response) ->
-                response
-                    .status(ready() ? HTTP_OK : HTTP_UNAVAILABLE)
-                    .header("Content-Length", "0")
-                    .send())
-        .bind();
-  }
-
-  private Mono<?> listenMetrics() {
-    Optional<InetSocketAddress> address = settings.metrics();
-    return address.isEmpty()
-        ? Mono.empty()
-        : HttpServer.create()
-            .runOn(loops, false)
-            .bindAddress(address::get)
-            .handle(
-                (request, response) ->
-                    response.sendByteArray(
-                        Mono.fromSupplier(metrics::exposition)
-                            .concatWith(Mono.fromSupplier(boxMetrics::exposition))))
-            .bind();
-  }
-
   private int boxes() {
     return Math.max(FEWEST_BOXES, mesh.boxes());
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeParts.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeParts.java
@@ -58,6 +58,17 @@
         new RequestInputs(service, plan, inputRelease));
   }
 
+  /** Counts the request for the retry budgets of all services that it needs. */
+  void countRequest() {
+    services.budget().requested(admitted.service());
+    admitted.route().stages().forEach(stage -> services.budget().requested(stage.service()));
+  }
+
+  /** Returns whether the retry budget allows to send the request again, and counts that. */
+  boolean mayRepeat() {
+    return services.budget().trySpend(admitted.service());
+  }
+
   /** Returns the request as it goes to an upstream, after what was passed on of its answer. */
   OutgoingRequest outgoing(UpstreamRecord upstream, Optional<String> passedOn) {
     AttemptFacts facts =
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeTimers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeTimers.java
@@ -9,16 +9,27 @@
 final class ExchangeTimers {
 
   private final EventLoop loop;
+  private final RequestClock clock;
+  private Runnable onTimeUp = () -> {};
   private @Nullable Future<?> timeUp;
   private @Nullable AttemptWatch watch;
 
-  ExchangeTimers(EventLoop loop) {
+  ExchangeTimers(EventLoop loop, RequestClock clock) {
     this.loop = loop;
+    this.clock = clock;
   }
 
   /** Runs an action once the time of the request is up. */
-  void endAfter(long millis, Runnable action) {
-    timeUp = loop.schedule(action, millis, TimeUnit.MILLISECONDS);
+  void start(Runnable action) {
+    onTimeUp = action;
+    timeUp = loop.schedule(action, clock.leftMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Does what is due by the true time, as timers do not count suspended time. */
+  void wokeUp() {
+    if (clock.leftMillis() == 0) {
+      onTimeUp.run();
+    }
   }
 
   void watch(AttemptWatch started) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -26,11 +26,7 @@
   private final RouteDefinition route;
   private final ExchangeParts parts;
   private final ExchangeOutcome outcome;
-  private final RequestClock clock;
   private final StagePlan plan;
-  private final RequestInputs inputs;
-  private final UpstreamCandidates candidates;
-  private final String service;
   private final SendHistory history;
   private final RequestStanding standing;
   private final ExchangeTimers timers;
@@ -44,23 +40,19 @@
     this.services = parts.services();
     this.request = admitted.request();
     this.route = admitted.route();
-    this.service = admitted.service();
     this.history = new SendHistory(route);
     this.standing = new RequestStanding(services, admitted);
-    this.timers = new ExchangeTimers(services.loop());
+    this.timers = new ExchangeTimers(services.loop(), parts.clock());
     this.parts = parts;
-    this.clock = parts.clock();
     this.outcome = parts.outcome();
-    this.candidates = parts.candidates();
     this.plan = parts.plan();
-    this.inputs = parts.inputs();
     this.onOver = onOver;
     this.passedOn = request.resumeAfter();
   }
 
   /** A request that is held back is refused before anything is done for it. */
   void start() {
-    timers.endAfter(clock.leftMillis(), this::timeUp);
+    timers.start(this::timeUp);
     standing.whetherItMayRun(may -> begin(may));
   }
 
@@ -72,8 +64,7 @@
       holdBack();
       return;
     }
-    services.budget().requested(service);
-    route.stages().forEach(stage -> services.budget().requested(stage.service()));
+    parts.countRequest();
     if (plan.isEmpty()) {
       dispatch();
     } else {
@@ -103,10 +94,10 @@
   }
 
   private void stagesDone(List<String> results) {
-    services.metrics().stagesDone(route.repeatability(), clock.elapsedMillis());
+    services.metrics().stagesDone(route.repeatability(), parts.clock().elapsedMillis());
     outcome.stagesDone();
-    inputs.made(results);
-    candidates.setInputs(plan.bytesByZone());
+    parts.inputs().made(results);
+    parts.candidates().setInputs(plan.bytesByZone());
     dispatch();
   }
 
@@ -121,7 +112,10 @@
       holdBack();
       return;
     }
-    candidates.next().ifPresentOrElse(this::send, () -> giveUp(candidates.whyNone(), "all tried"));
+    parts
+        .candidates()
+        .next()
+        .ifPresentOrElse(this::send, () -> giveUp(parts.candidates().whyNone(), "all tried"));
   }
 
   private void send(UpstreamRecord upstream) {
@@ -135,7 +129,8 @@
 
   private void watch(Attempt watched) {
     if (route.repeatability().repeatable()) {
-      timers.watch(AttemptWatch.of(services, route, clock, watched, () -> giveUpSilent(watched)));
+      timers.watch(
+          AttemptWatch.of(services, route, parts.clock(), watched, () -> giveUpSilent(watched)));
     }
   }
 
@@ -150,7 +145,7 @@
 
   @Override
   public void sent(Attempt sent) {
-    inputs.sent(() -> sent == attempt && !outcome.isOver());
+    parts.inputs().sent(() -> sent == attempt && !outcome.isOver());
   }
 
   @Override
@@ -159,7 +154,7 @@
     outcome.notRun(ended.upstream(), status);
     if (facts.otherUpstream()) {
       services.upstreams().markGone(ended.upstream());
-    } else if (status == INPUTS_GONE && inputs.wereGone()) {
+    } else if (status == INPUTS_GONE && parts.inputs().wereGone()) {
       remakeInputs();
       return;
     } else if (status == INPUTS_GONE || status < INPUTS_GONE) {
@@ -172,8 +167,8 @@
   }
 
   private void remakeInputs() {
-    candidates.reset();
-    if (services.budget().trySpend(service)) {
+    parts.candidates().reset();
+    if (parts.mayRepeat()) {
       plan.restart();
     } else {
       finish(Refusal.STAGES_FAILED, "inputs gone, retry budget spent");
@@ -207,7 +202,7 @@
   private void again(String why, Refusal otherwise, boolean counted) {
     if (history.exhausted()) {
       giveUp(otherwise, why);
-    } else if (counted && !services.budget().trySpend(service)) {
+    } else if (counted && !parts.mayRepeat()) {
       giveUp(otherwise, why + ", retry budget spent");
     } else {
       dispatch();
@@ -220,7 +215,7 @@
     standing.answered();
     boolean failure = status >= FIRST_FAILURE;
     boolean mayRunAgain = history.mayRunAgain() && !history.exhausted();
-    if (failure && mayRunAgain && services.budget().trySpend(service)) {
+    if (failure && mayRunAgain && parts.mayRepeat()) {
       body.release();
       history.mayHaveRun();
       outcome.failed(ended.upstream(), CallFailure.BROKEN);
@@ -254,6 +249,11 @@
     outcome.endStream();
   }
 
+  /** Gives the request up if its time passed while no timer counted it. */
+  void wokeUp() {
+    timers.wokeUp();
+  }
+
   private void timeUp() {
     if (!outcome.isOver()) {
       boolean idle = attempt == null && !history.maybeRan();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -45,6 +45,11 @@
     stopping = true;
   }
 
+  /** Gives up the requests whose time passed while the machine was suspended. */
+  public void wokeUp() {
+    List.copyOf(underWay).forEach(RelayExchange::wokeUp);
+  }
+
   /** Takes a request; the response is called on the event loop, also before this returns. */
   public Running handle(RelayRequest request, CallerResponse response) {
     Optional<Deployment> deployment = services.deployments().current();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -60,6 +60,18 @@
           .withoutExemplars()
           .register(registry);
 
+  private final Counter suspensions =
+      Counter.builder()
+          .name("gradeledge_suspensions_total")
+          .help("Times that the machine was suspended and woke up")
+          .withoutExemplars()
+          .register(registry);
+
+  /** Counts that the machine was suspended. */
+  public void suspended() {
+    suspensions.inc();
+  }
+
   /** Counts a row of the list of upstreams that names none. */
   public void unreadableRow() {
     unreadableRows.inc();
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,7 +35,10 @@
   private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> connections = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
-  private final PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, upstream -> LIMIT);
+  private final AtomicLong suspendedNanos = new AtomicLong();
+  private final PooledUpstreamCaller caller =
+      new PooledUpstreamCaller(
+          loop, upstream -> LIMIT, () -> System.nanoTime() + suspendedNanos.get());
   private DisposableServer server;
 
   @BeforeEach
@@ -83,6 +87,17 @@
     assertThat(connections).hasSize(2);
   }
 
+  /** The upstream has closed it meanwhile; that it did may not have been read yet. */
+  @Test
+  void aConnectionThatRestedThroughASuspensionIsNotUsedAgain() throws Exception {
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+    suspendedNanos.set(TimeUnit.SECONDS.toNanos(10));
+
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+
+    assertThat(connections).hasSize(2);
+  }
+
   @Test
   void callsThatWantConnectionsOfTheirOwnDoNotUseUpTheLimit() throws Exception {
     for (int i = 0; i < 5 * LIMIT; i++) {
--- a/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/follow/TableFollowerTests.java
@@ -160,7 +160,27 @@
     assertThat(table.waits.poll(5, TimeUnit.SECONDS)).isEqualTo(WAIT);
   }
 
-  private void follow(ScriptedTable table) {
+  /**
+   * A call that was under way when the machine was suspended waits on: its timer counts none of
+   * that time, and its connection may be gone.
+   */
+  @Test
+  void aCallThatWasUnderWayDuringASuspensionIsMadeAnewAtOnce() throws Exception {
+    ScriptedTable table = new ScriptedTable();
+    table.reads.add(Mono.just(new TableContent(4, List.of())));
+    table.changes.add(Mono.never());
+    table.changes.add(Mono.just(new TableChanges(5, List.of(row("d")), List.of())));
+    TableFollower follower = follow(table);
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("content 4 []");
+    assertThat(table.askedAfter.poll(5, TimeUnit.SECONDS)).isEqualTo(4);
+
+    loop.execute(follower::wokeUp);
+
+    assertThat(table.askedAfter.poll(5, TimeUnit.SECONDS)).isEqualTo(4);
+    assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 5 [d] []");
+  }
+
+  private TableFollower follow(ScriptedTable table) {
     TableFollower follower =
         new TableFollower(
             "test",
@@ -171,6 +191,7 @@
             EventLogs.silent(),
             new FollowPace(() -> WAIT, () -> Duration.ZERO, () -> Duration.ofMillis(300)));
     loop.execute(follower::start);
+    return follower;
   }
 
   private static TableRow row(String key) {
