Among many boxes an outage of the list is known to all: what is missing stays in use until it is judged

Cause: most boxes read the list every ten seconds and take what they are told, or read next, for the truth of now; entries that only lapsed were missing from it. Each heartbeat says now what its box can say of missing entries: it doubts them, trusts them as it reads steadily, or reads too seldom. Boxes that read seldom keep what is missing while those that read steadily doubt, and judge it by one reading of their own once one trusts the list again or none doubts. A list that is handed on says whether it is doubted, as it may come before the heartbeat. Ways: lapsed entries handed on beside the list (a box that reads by itself first drops them still and tells others so); distrust after any long pause (an upstream that leaves without a word stays in use beyond its bound); any doubt counts (first form; one box that the platform turns away for nine seconds would keep leaving upstreams in use at all). Kept: doubt counts only where nobody trusts.

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
@@ -24,6 +24,7 @@
   private final List<UpstreamRecord> replaced = new ArrayList<>();
   private final List<UpstreamRecord> cold = new ArrayList<>();
   private boolean sourceAway;
+  private boolean doubtTold;
   private long revision = -1;
   private long changedAt = -1;
 
@@ -114,7 +115,7 @@
 
   void remove(String id) {
     UpstreamRecord known = byId.get(id);
-    if (sourceAway && known != null && !known.leaving()) {
+    if (isDoubted() && known != null && !known.leaving()) {
       lapse(known);
     } else {
       end(id);
@@ -133,9 +134,25 @@
     sourceAway = true;
   }
 
+  /** The same, as another box has noticed it. */
+  void distrustRemovalsAsTold() {
+    doubtTold = true;
+  }
+
+  /** Returns whether this box itself has noticed that entries may only have lapsed. */
+  boolean distrustsRemovals() {
+    return sourceAway;
+  }
+
+  /** Returns whether entries that are missing may only have lapsed, as noticed or told. */
+  boolean isDoubted() {
+    return sourceAway || doubtTold;
+  }
+
   /** What is missing now is gone. */
   void trustRemovals() {
     sourceAway = false;
+    doubtTold = false;
     List.copyOf(lapsed).forEach(this::end);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.gradeledge.event.EventLog;
 
@@ -25,6 +26,7 @@
   private final UpstreamListeners listeners = new UpstreamListeners();
   private final KnownUpstreams known;
   private final UpstreamIndex index = new UpstreamIndex();
+  private Supplier<ListTrust> trust = () -> ListTrust.UNKNOWN;
   private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
 
   /** Creates an empty registry. */
@@ -165,6 +167,29 @@
     known.distrustRemovals();
   }
 
+  /**
+   * Notes that another box has noticed that the list's source did not answer: this one may not
+   * have, as it seldom reads, and what it is told or reads next lacks entries that only lapsed.
+   */
+  public void distrustRemovalsAsTold() {
+    known.distrustRemovalsAsTold();
+  }
+
+  /** Returns what this box can say itself of entries that are missing. */
+  public ListTrust trust() {
+    return known.distrustsRemovals() ? ListTrust.DOUBTED : trust.get();
+  }
+
+  /** Returns whether entries that are missing may only have lapsed, as noticed or told. */
+  public boolean isDoubted() {
+    return known.isDoubted();
+  }
+
+  /** Sets whether this box reads the list so steadily that it would have noticed an outage. */
+  public void onTrust(Supplier<ListTrust> reading) {
+    trust = reading;
+  }
+
   /** Notes that the upstreams have had the time to renew their entries: what is missing is gone. */
   public void trustRemovals() {
     known.trustRemovals();
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
@@ -41,7 +41,8 @@
         backlogMillis,
         toCome.own(),
         upstreams.evacuations(),
-        quarantine.digest());
+        quarantine.digest(),
+        upstreams.trust().code());
   }
 
   /** Forgets what a box told of itself, as it is lost. */
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -15,6 +15,7 @@
 import org.gradeledge.batch.StageGroup;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageWorkClient;
+import org.gradeledge.discovery.ListTrust;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.peer.PeerIdentity;
 import org.gradeledge.peer.PeerNetwork;
@@ -53,6 +54,7 @@
   private final HeartbeatSender sender;
   private final LostBoxes lost;
   private final SuspectExchange suspects;
+  private final ListDoubts listDoubts;
   private long newestConfiguration = -1;
   private long newestUpstreams = -1;
   private boolean leaving;
@@ -87,7 +89,9 @@
     this.links = new MeshLinks(network, clock);
     this.routes =
         new HeartbeatRoutes(self, zone, peers, network::connectedIds, links::isUnreachable);
-    this.documents = new DocumentExchange(links, loop, beliefs.deployments(), beliefs.upstreams());
+    this.listDoubts = new ListDoubts(beliefs.upstreams());
+    this.documents =
+        new DocumentExchange(links, loop, beliefs.deployments(), beliefs.upstreams(), listDoubts);
     this.upstreamNews = new UpstreamNews(routes, beliefs.upstreams(), documents, loop);
     this.sender = new HeartbeatSender(network, loop, clock, peers, routes, relay, links, this::own);
     this.lost = new LostBoxes(peers, known, new Random());
@@ -97,6 +101,7 @@
     peers.onLost(beliefs::forget);
     peers.onLost(links::lost);
     peers.onLost(suspects::lost);
+    peers.onLost(listDoubts::lost);
   }
 
   /** Returns what has stage work done by one box for each service. */
@@ -162,6 +167,11 @@
     upstreamNews.onRead(action);
   }
 
+  /** Runs an action once no other box doubts the list of upstreams any more. */
+  public void onListSettled(Runnable action) {
+    listDoubts.onSettled(action);
+  }
+
   /** Returns whether there are many boxes and this one hears of them by digests. */
   public boolean hearsDigests() {
     return sender.hearsDigests();
@@ -179,6 +189,7 @@
 
   private void beat() {
     peers.expire(sender.silenceMillis());
+    listDoubts.beat();
     connect();
     sender.beat();
     loop.schedule(this::beat, sender.intervalMillis(), TimeUnit.MILLISECONDS);
@@ -235,9 +246,10 @@
     known.add(box);
     beat.boxes().stream().filter(other -> !other.equals(self)).forEach(known::add);
     documents.learnConfigurationSoon(box, beat.configuration());
+    boolean otherDoubt = listDoubts.heard(box, ListTrust.ofCode(beat.listTrust()));
     upstreamNews.heardOf(box, beat.upstreams());
     boolean ordered = beliefs.heard(box, beat);
-    if (isNews(beat) || ordered) {
+    if (isNews(beat) || ordered || otherDoubt) {
       sender.tellDigestsSoon();
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
@@ -16,11 +16,17 @@
 
   private final DeploymentRegistry deployments;
   private final UpstreamRegistry upstreams;
+  private final ListDoubts doubts;
   private final DocumentLearner<DocumentAnswer> configurations;
   private final DocumentLearner<UpstreamList> lists;
 
   DocumentExchange(
-      MeshLinks links, EventLoop loop, DeploymentRegistry deployments, UpstreamRegistry upstreams) {
+      MeshLinks links,
+      EventLoop loop,
+      DeploymentRegistry deployments,
+      UpstreamRegistry upstreams,
+      ListDoubts doubts) {
+    this.doubts = doubts;
     this.deployments = deployments;
     this.upstreams = upstreams;
     this.configurations =
@@ -38,7 +44,15 @@
             MeshMessages.UPSTREAMS,
             UpstreamList.class,
             upstreams::revision,
-            (box, list) -> upstreams.replaceAll(list.revision(), list.upstreams()));
+            (box, list) -> take(list));
+  }
+
+  /** A list that is doubted must be known to be before what it lacks is looked at. */
+  private void take(UpstreamList list) {
+    if (list.doubted()) {
+      doubts.tookDoubtedList();
+    }
+    upstreams.replaceAll(list.revision(), list.upstreams());
   }
 
   DocumentAnswer configuration() {
@@ -47,7 +61,8 @@
   }
 
   UpstreamList upstreamList() {
-    return new UpstreamList(upstreams.revision(), List.copyOf(upstreams.listed()));
+    return new UpstreamList(
+        upstreams.revision(), List.copyOf(upstreams.listed()), upstreams.isDoubted());
   }
 
   /** Asks a box for its configuration unless this box has one as new by then. */
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -22,6 +22,8 @@
  * @param piecesToCome pieces that its requests will want made, by service and priority
  * @param evacuations zones whose upstreams take nothing new
  * @param suspects a number that is the same where the same is known of requests that end upstreams
+ * @param listTrust whether its list of upstreams lacks entries that may only have lapsed, as it has
+ *     noticed itself
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record Heartbeat(
@@ -36,7 +38,8 @@
     Map<String, List<Long>> backlogMillis,
     Map<String, List<Long>> piecesToCome,
     ZoneEvacuations evacuations,
-    long suspects) {
+    long suspects,
+    int listTrust) {
 
   /** Returns whether the box knows so few others that it tells all of them what it hears. */
   boolean isOfFew() {
@@ -57,7 +60,8 @@
         backlogMillis,
         piecesToCome,
         evacuations,
-        suspects);
+        suspects,
+        listTrust);
   }
 
   /** Returns the same, to be passed on. */
@@ -74,6 +78,7 @@
         backlogMillis,
         piecesToCome,
         evacuations,
-        suspects);
+        suspects,
+        listTrust);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import org.gradeledge.discovery.ListTrust;
 import org.gradeledge.discovery.ZoneEvacuations;
 import org.gradeledge.peer.MessageFormat;
 import org.gradeledge.peer.MessageReader;
@@ -13,9 +14,9 @@
 /** Heartbeats, as arrays. */
 final class HeartbeatFormat implements MessageFormat<Heartbeat> {
 
-  private static final int FIELDS = 12;
+  private static final int FIELDS = 13;
 
-  /** Fields that all older boxes send; some know of no evacuations, or of no suspects. */
+  /** Fields that all older boxes send; some know of no evacuations, suspects, or doubts. */
   private static final int FIRST_FIELDS = 10;
 
   private static final long NO_SUSPECTS = 0;
@@ -46,6 +47,7 @@
     writeNumbers(packer, beat.piecesToCome());
     write(packer, beat.evacuations());
     packer.packLong(beat.suspects());
+    packer.packInt(beat.listTrust());
   }
 
   private static void write(MessagePacker packer, ZoneEvacuations evacuations) throws IOException {
@@ -85,8 +87,9 @@
             reader.map(HeartbeatFormat::readNumbers),
             reader.map(HeartbeatFormat::readNumbers),
             more > 0 ? readEvacuations(reader) : ZoneEvacuations.UNKNOWN,
-            more > 1 ? reader.number() : NO_SUSPECTS);
-    reader.skip(Math.max(0, more - 2));
+            more > 1 ? reader.number() : NO_SUSPECTS,
+            more > 2 ? reader.integer() : ListTrust.UNKNOWN.code());
+    reader.skip(Math.max(0, more - 3));
     return beat;
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamList.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamList.java
@@ -8,5 +8,6 @@
  *
  * @param revision revision that its list stands at
  * @param upstreams the list
+ * @param doubted whether it lacks entries that may only have lapsed
  */
-record UpstreamList(long revision, List<UpstreamRecord> upstreams) {}
+record UpstreamList(long revision, List<UpstreamRecord> upstreams, boolean doubted) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
@@ -10,10 +10,11 @@
 /** Lists of upstreams, as maps. */
 final class UpstreamListFormat implements MessageFormat<UpstreamList> {
 
-  private static final int FIELDS = 2;
+  private static final int FIELDS = 3;
   private static final int RECORD_FIELDS = 9;
   private static final String REVISION = "revision";
   private static final String UPSTREAMS = "upstreams";
+  private static final String DOUBTED = "doubted";
   private static final String ID = "id";
   private static final String BORN = "born";
   private static final String SERVICE = "service";
@@ -32,6 +33,7 @@
     for (UpstreamRecord upstream : list.upstreams()) {
       write(packer, upstream);
     }
+    packer.packString(DOUBTED).packBoolean(list.doubted());
   }
 
   private static void write(MessagePacker packer, UpstreamRecord upstream) throws IOException {
@@ -52,7 +54,8 @@
     MessageFields fields = reader.fields();
     return new UpstreamList(
         fields.number(REVISION),
-        fields.records(UPSTREAMS).stream().map(UpstreamListFormat::read).toList());
+        fields.records(UPSTREAMS).stream().map(UpstreamListFormat::read).toList(),
+        fields.flagIfGiven(DOUBTED));
   }
 
   private static UpstreamRecord read(MessageFields fields) {
--- a/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
@@ -97,6 +97,7 @@
             new UnreadableRows(events, onUnreadableRow),
             mesh::tellNow,
             loop,
+            clock,
             leavingBound);
     this.upstreams =
         new TableFollower(
@@ -118,6 +119,7 @@
             new FollowPace(this::verdictWait, this::verdictPause, () -> VERDICT_BACKOFF));
     listener.onLook(upstreams::lookNow);
     mesh.onUpstreamNews(upstreams::lookNow);
+    mesh.onListSettled(listener::settled);
   }
 
   void start() {
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
@@ -5,12 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.gradeledge.discovery.ListTrust;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.follow.TableChanges;
 import org.gradeledge.follow.TableContent;
 import org.gradeledge.follow.TableListener;
 import org.gradeledge.follow.TableRow;
+import org.gradeledge.time.MonotonicClock;
 
 /**
  * Takes the list of upstreams into the registry. A row that cannot be read names no upstream: where
@@ -34,6 +36,7 @@
   private final Runnable onNews;
   private final EventLoop loop;
   private final long graceMillis;
+  private final SteadyReading reading;
   private Runnable look = () -> {};
   private boolean judging;
   private int outages;
@@ -49,12 +52,15 @@
       UnreadableRows unreadable,
       Runnable onNews,
       EventLoop loop,
+      MonotonicClock clock,
       Duration leavingBound) {
     this.upstreams = upstreams;
     this.reader = reader;
     this.unreadable = unreadable;
     this.onNews = onNews;
     this.loop = loop;
+    this.reading = new SteadyReading(clock);
+    upstreams.onTrust(reading::trust);
     this.graceMillis =
         Math.min(RENEWAL.toMillis(), (long) (leavingBound.toMillis() * PART_OF_BOUND));
   }
@@ -90,6 +96,7 @@
     outages++;
     judging = false;
     upstreams.distrustRemovals();
+    onNews.run();
   }
 
   @Override
@@ -104,16 +111,35 @@
    */
   private void judge(int ended) {
     if (ended == outages) {
-      judging = true;
-      look.run();
+      judgeNow();
+    }
+  }
+
+  private void judgeNow() {
+    judging = true;
+    look.run();
+  }
+
+  /**
+   * Judges what is missing, as no other box doubts the list any more. One that has noticed the
+   * outage itself does so in its own time.
+   */
+  void settled() {
+    if (upstreams.trust() != ListTrust.DOUBTED) {
+      judgeNow();
     }
   }
 
   @Override
   public void onAnswered() {
+    reading.answered();
     if (judging) {
       judging = false;
+      boolean doubted = upstreams.trust() == ListTrust.DOUBTED;
       tellIfNews(upstreams::trustRemovals);
+      if (doubted) {
+        onNews.run();
+      }
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/peer/MessageFields.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/peer/MessageFields.java
@@ -53,6 +53,13 @@
     return required(name, Boolean.class);
   }
 
+  /**
+   * Returns true or false, the latter where the field is missing, as in messages of older boxes.
+   */
+  public boolean flagIfGiven(String name) {
+    return values.containsKey(name) && flag(name);
+  }
+
   /** Returns bytes. */
   public byte[] bytes(String name) {
     return required(name, byte[].class);
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/BoxesInOneProcess.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/BoxesInOneProcess.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -144,12 +146,30 @@
         EventLogs.silent());
   }
 
+  /** Waits; where the test's time is up, tells what each box heard and was connected with. */
   void await(Callable<Boolean> condition) throws Exception {
-    while (!onLoop(condition)) {
-      Thread.onSpinWait();
+    try {
+      while (!onLoop(condition)) {
+        Thread.onSpinWait();
+      }
+    } catch (InterruptedException e) {
+      throw new AssertionError("time is up; the views: " + onLoop(this::views), e);
     }
   }
 
+  private String views() {
+    return IntStream.range(0, meshes.size())
+        .mapToObj(
+            box ->
+                addresses.get(box)
+                    + " hears "
+                    + meshes.get(box).boxes()
+                    + (meshes.get(box).hearsDigests() ? " by digests" : " directly")
+                    + ", connected with "
+                    + networks.get(box).connectedIds())
+        .collect(Collectors.joining("\n"));
+  }
+
   <T> T onLoop(Callable<T> question) throws Exception {
     return loop.submit(question).get();
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
@@ -22,6 +22,7 @@
         Map.of(),
         Map.of(),
         ZoneEvacuations.UNKNOWN,
+        0,
         0);
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/node/BoxInVirtualTime.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/BoxInVirtualTime.java
@@ -26,6 +26,7 @@
             new UnreadableRows(EventLogs.silent(), () -> {}),
             () -> {},
             channel.eventLoop(),
+            () -> TimeUnit.MILLISECONDS.toNanos(now),
             leavingBound);
     follower =
         new TableFollower(
--- a/gradeledge-core/src/test/java/org/gradeledge/node/RowsFromOthersTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/RowsFromOthersTests.java
@@ -33,6 +33,7 @@
           new UnreadableRows(EventLogs.silent(), () -> told.add("row")),
           () -> {},
           new EmbeddedChannel().eventLoop(),
+          () -> 0,
           Duration.ofSeconds(2));
 
   @Test
