A listener of upstreams that fails keeps no other from hearing; the log tells which start of an upstream it means

Left over from upstreams that start again under their id. UpstreamRegistryTests.aListenerThatFails…, failed first by reading: the loop ended at the first exception, and with it the change.

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamChangeLog.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamChangeLog.java
@@ -16,12 +16,17 @@
     events
         .change(what)
         .with("upstream", upstream.id())
+        .with("born", upstream.born())
         .with("service", upstream.service())
         .with("address", upstream.address())
         .with("revision", revision)
         .write();
   }
 
+  void listenerFailed(RuntimeException failure) {
+    events.problem("upstream-listener-failed").with("why", String.valueOf(failure)).write();
+  }
+
   void writeZones(ZoneEvacuations now, Set<String> before) {
     events
         .change("zones-evacuated")
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamListeners.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamListeners.java
@@ -5,7 +5,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** Who hears of changes among the upstreams. Confined to the event loop. */
+/**
+ * Who hears of changes among the upstreams. One that fails keeps no other from hearing: each has
+ * its own part to give up. Confined to the event loop.
+ */
 final class UpstreamListeners {
 
   private final List<Consumer<UpstreamRecord>> ended = new ArrayList<>();
@@ -13,6 +16,11 @@
   private final List<Consumer<UpstreamRecord>> cold = new ArrayList<>();
   private final List<Consumer<Set<String>>> restored = new ArrayList<>();
   private final List<Runnable> zonesChanged = new ArrayList<>();
+  private final UpstreamChangeLog log;
+
+  UpstreamListeners(UpstreamChangeLog log) {
+    this.log = log;
+  }
 
   void onEnd(Consumer<UpstreamRecord> listener) {
     ended.add(listener);
@@ -35,22 +43,30 @@
   }
 
   void tellEnd(UpstreamRecord upstream) {
-    ended.forEach(listener -> listener.accept(upstream));
+    ended.forEach(listener -> tell(() -> listener.accept(upstream)));
   }
 
   void tellReplaced(UpstreamRecord upstream) {
-    replaced.forEach(listener -> listener.accept(upstream));
+    replaced.forEach(listener -> tell(() -> listener.accept(upstream)));
   }
 
   void tellCold(UpstreamRecord upstream) {
-    cold.forEach(listener -> listener.accept(upstream));
+    cold.forEach(listener -> tell(() -> listener.accept(upstream)));
   }
 
   /** Tells of zones that take new work again before it tells that there are other zones now. */
   void tellZones(Set<String> zonesRestored) {
     if (!zonesRestored.isEmpty()) {
-      restored.forEach(listener -> listener.accept(zonesRestored));
+      restored.forEach(listener -> tell(() -> listener.accept(zonesRestored)));
+    }
+    zonesChanged.forEach(this::tell);
+  }
+
+  private void tell(Runnable listener) {
+    try {
+      listener.run();
+    } catch (RuntimeException failure) {
+      log.listenerFailed(failure);
     }
-    zonesChanged.forEach(Runnable::run);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -23,7 +23,7 @@
 public final class UpstreamRegistry {
 
   private final UpstreamChangeLog changes;
-  private final UpstreamListeners listeners = new UpstreamListeners();
+  private final UpstreamListeners listeners;
   private final KnownUpstreams known;
   private final UpstreamIndex index = new UpstreamIndex();
   private Supplier<ListTrust> trust = () -> ListTrust.UNKNOWN;
@@ -32,6 +32,7 @@
   /** Creates an empty registry. */
   public UpstreamRegistry(EventLog events) {
     this.changes = new UpstreamChangeLog(events);
+    this.listeners = new UpstreamListeners(changes);
     this.known = new KnownUpstreams(changes);
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRegistryTests.java
@@ -24,6 +24,23 @@
     assertThat(ended).containsExactly("a");
   }
 
+  /** Each listener gives up its own part of what an upstream held; one must not stand for all. */
+  @Test
+  void aListenerThatFailsKeepsNoOtherFromHearing() {
+    List<String> ended = new ArrayList<>();
+    registry.onEnd(
+        upstream -> {
+          throw new IllegalStateException("a listener that fails");
+        });
+    registry.onEnd(upstream -> ended.add(upstream.id()));
+    registry.replaceAll(1, List.of(upstream("a", false), upstream("b", false)));
+
+    registry.replaceAll(2, List.of());
+
+    assertThat(ended).containsExactlyInAnyOrder("a", "b");
+    assertThat(registry.usable("service")).isEmpty();
+  }
+
   @Test
   void anUpstreamWhoseEntryLapsedMayComeBack() {
     registry.replaceAll(1, List.of(upstream("a", false)));
