--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -46,7 +46,7 @@
             builder.board,
             builder.budget,
             builder.caller,
-            new UpstreamEnds(builder.caller),
+            new UpstreamEnds(builder.caller, builder.upstreams::hasLeft),
             builder.protocol,
             builder.events,
             builder.toCome,
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamEnds.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamEnds.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /**
@@ -20,15 +21,25 @@
 public final class UpstreamEnds {
 
   private final UpstreamCaller caller;
+  private final Predicate<UpstreamRecord> left;
   private final Map<String, List<Consumer<UpstreamProof>>> asking = new HashMap<>();
 
-  /** Creates one that asks over a caller. */
-  public UpstreamEnds(UpstreamCaller caller) {
+  /**
+   * Creates one that asks over a caller.
+   *
+   * @param left whether an upstream has left, so that its end is no crash
+   */
+  public UpstreamEnds(UpstreamCaller caller, Predicate<UpstreamRecord> left) {
     this.caller = caller;
+    this.left = left;
   }
 
-  /** Asks; the listener hears once, never before this returns. */
+  /** Asks; the listener hears once, also before this returns. */
   public void prove(UpstreamRecord upstream, Consumer<UpstreamProof> listener) {
+    if (left.test(upstream)) {
+      listener.accept(UpstreamProof.LEFT);
+      return;
+    }
     List<Consumer<UpstreamProof>> listeners = asking.get(upstream.start());
     if (listeners != null) {
       listeners.add(listener);
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamProof.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamProof.java
@@ -1,7 +1,8 @@
 package org.gradeledge.connection;
 
 /**
- * What a new connection to an upstream shows, opened right after one with a call on it was lost.
+ * What is shown of an upstream right after a connection with a call on it was lost, mostly by a new
+ * connection.
  *
  * @since 0.3
  */
@@ -10,6 +11,8 @@
   THERE,
   /** It was refused: nobody listens there any more. */
   REFUSED,
+  /** It had left before, as it had said or its entry was gone: it ends as planned. */
+  LEFT,
   /** There was no answer: the upstream may have ended, or cannot be reached from here. */
   SILENT
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -119,6 +119,11 @@
     return index.usable(service);
   }
 
+  /** Returns whether a start of an upstream leaves, or is listed no more. */
+  public boolean hasLeft(UpstreamRecord upstream) {
+    return known.find(upstream).map(UpstreamRecord::leaving).orElse(true);
+  }
+
   /** Returns whether new work may still be sent to an upstream. */
   public boolean isUsable(UpstreamRecord upstream) {
     return known.find(upstream).filter(this::takesNewWork).isPresent();
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -113,7 +113,7 @@
             cold,
             budget,
             caller,
-            new UpstreamEnds(caller),
+            new UpstreamEnds(caller, upstreams::hasLeft),
             quarantine,
             verdicts,
             adapters.relay(),
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestStanding.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestStanding.java
@@ -106,10 +106,6 @@
    * lost for reasons of their own.
    */
   void broken(UpstreamRecord upstream, Runnable then) {
-    if (upstream.leaving()) {
-      then.run();
-      return;
-    }
     boolean suspect = isKnown() && quarantine.endsUnder(fingerprint()) > 0;
     services
         .ends()
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamEndsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamEndsTests.java
@@ -10,7 +10,7 @@
 class UpstreamEndsTests {
 
   private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
-  private final UpstreamEnds ends = new UpstreamEnds(caller);
+  private final UpstreamEnds ends = new UpstreamEnds(caller, upstream -> upstream.leaving());
   private final List<UpstreamProof> heard = new ArrayList<>();
 
   @Test
@@ -38,6 +38,14 @@
         .containsExactly(UpstreamProof.REFUSED, UpstreamProof.REFUSED, UpstreamProof.THERE);
   }
 
+  @Test
+  void oneThatHasLeftIsNotAsked() {
+    ends.prove(new UpstreamRecord("u1", "service", "10.0.0.1", 1, "zone", 1, true), heard::add);
+
+    assertThat(heard).containsExactly(UpstreamProof.LEFT);
+    assertThat(caller.probed()).isEmpty();
+  }
+
   private static UpstreamRecord upstream(int number) {
     return new UpstreamRecord("u" + number, "service", "10.0.0.1", number, "zone", 1, false);
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
@@ -119,6 +119,19 @@
     assertThat(box.quarantine.endsUnder(box.fingerprint())).isZero();
   }
 
+  /** It cuts what still runs there when it ends, and that says nothing of the requests. */
+  @Test
+  void anUpstreamThatEndsAsPlannedHasNotCrashed() throws Exception {
+    box.send("r1", NO_PIECES);
+    box.upstreams.update(2, List.of(), List.of("u1"));
+    breakOff(box.caller.next());
+    box.caller.answerProbes();
+
+    assertThat(box.quarantine.endsUnder(box.fingerprint())).isZero();
+    assertThat(box.caller.probed()).isEmpty();
+    assertThat(box.caller.next().target()).isEqualTo(upstream(2));
+  }
+
   @Test
   void aTrialIsOneSendAndAWholeAnswerLetsTheRequestGo() throws Exception {
     endElsewhere(box, "a", "b", "c");
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/RelayInVirtualTime.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/RelayInVirtualTime.java
@@ -46,6 +46,7 @@
   private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
   final FakeUpstreamCaller caller = new FakeUpstreamCaller();
   final FakeStageWorkClient stages = new FakeStageWorkClient();
+  final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
   final Quarantine quarantine = new Quarantine(clock);
   final HandMadeTrials trials = new HandMadeTrials();
   final List<String> answers = new ArrayList<>();
@@ -74,7 +75,6 @@
         new DeploymentRegistry(
             document -> Either.right(Deployments.of(1, route)), EventLogs.silent());
     deployments.offer(new byte[1], "test");
-    UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
     upstreams.replaceAll(1, List.of(known));
     LoadBoard board = new LoadBoard(clock, EventLogs.silent());
     RelayServices services =
@@ -89,7 +89,7 @@
             new ColdUpstreams(clock, new Random(1), () -> 1, service -> Optional.empty()),
             new RetryBudget(clock, 1, 100, Duration.ofSeconds(10), () -> 1),
             caller,
-            new UpstreamEnds(caller),
+            new UpstreamEnds(caller, upstreams::hasLeft),
             quarantine,
             trials,
             new PlainProtocol(),
