A suspension is one only where boot clock and time of day agree; what is harmless is done whenever time may have passed

Deadlines move now only by what both show; where the time of day went ahead without that, resting connections are closed and all tables read anew.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -103,6 +103,11 @@
         .forEach(UpstreamConnection::breakOff);
   }
 
+  /** Closes all connections on which no call is under way: others may have closed them unheard. */
+  public void closeResting() {
+    byUpstream.values().forEach(UpstreamConnections::closeResting);
+  }
+
   @Override
   public void probe(UpstreamRecord target, Consumer<UpstreamProof> listener) {
     bootstrap
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
@@ -83,6 +83,11 @@
 
   void closeKept() {
     closing = true;
+    closeResting();
+  }
+
+  /** Closes those that rest; those in use may be kept again. */
+  void closeResting() {
     List.copyOf(kept).forEach(UpstreamConnection::close);
     kept.clear();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -1,7 +1,6 @@
 package org.gradeledge.node;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -33,6 +32,7 @@
 import org.gradeledge.selection.LeastLoadedChooser;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.PrefixAffinityChooser;
+import org.gradeledge.time.ClockJump;
 import org.gradeledge.time.MonotonicClock;
 import org.gradeledge.time.SuspensionAwareClock;
 import reactor.core.publisher.Mono;
@@ -123,18 +123,27 @@
     this.handler = new RelayHandler(services);
     this.pages = new BoxPages(loops, metrics, boxMetrics);
     this.server = new RelayServer(handler, services, loops);
-    clock.onSuspended(length -> loop.execute(() -> wokeUp(length)));
+    clock.onJump(jump -> loop.execute(() -> clocksParted(jump, caller)));
     this.stop = new PlannedStop(settings.grace(), server, handler, mesh, loop, events);
   }
 
   /**
    * What timers would have done meanwhile is done now; peers that are silent go at the next beat.
+   * Where it is not sure that time has passed, what costs little and does no harm is done.
    */
-  private void wokeUp(Duration suspended) {
-    events.change("suspended").with("ms", suspended.toMillis()).write();
-    metrics.suspended();
-    handler.wokeUp();
-    followers.wokeUp();
+  private void clocksParted(ClockJump jump, PooledUpstreamCaller caller) {
+    events
+        .change(jump.isSuspension() ? "suspended" : "time-of-day-set")
+        .with("ms", jump.timeOfDay().toMillis())
+        .write();
+    if (jump.isSuspension()) {
+      metrics.suspended();
+      handler.wokeUp();
+    }
+    if (jump.mayBeSuspension()) {
+      caller.closeResting();
+      followers.wokeUp();
+    }
   }
 
   private VerdictKeeper newVerdictKeeper(Quarantine quarantine, RelayAdapters adapters) {
--- a/gradeledge-core/src/main/java/org/gradeledge/time/SuspensionAwareClock.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/time/SuspensionAwareClock.java
@@ -13,9 +13,11 @@
  * the machine does not: whatever rests on it takes what it knew before for fresh.
  *
  * <p>The time of day and the steady clock go alike, but for two things: the machine was suspended,
- * or the time of day was set. Each look compares both, which costs some nanoseconds; where they
- * have parted, the boot clock tells which it was. So a step of the time of day moves nothing, and
- * the first look after waking, before any timer has fired, gives the true time. Thread-safe.
+ * or the time of day was set. Each look compares both, which costs some nanoseconds. Where they
+ * have parted, the boot clock is asked: only if it has gone ahead by as much was it a suspension,
+ * and the first look after waking, before any timer has fired, gives the true time. Else the clock
+ * goes on as it was, so that no step of the time of day moves a deadline, also where the boot clock
+ * that is shown is not the machine's own. Whoever listens hears of both. Thread-safe.
  *
  * @since 0.3
  */
@@ -24,8 +26,11 @@
   /** Shorter suspensions are not looked for; no bound that boxes keep is as short as this. */
   static final Duration SIGN = Duration.ofMillis(200);
 
-  /** The boot clock tells hundredths of a second, and is read a moment before the steady one. */
-  static final Duration LEAST = Duration.ofMillis(100);
+  /**
+   * Two jumps are the same if they differ by no more: steps of the time of day below the sign go
+   * unnoticed, and the boot clock tells hundredths of a second a moment before it is compared.
+   */
+  static final Duration AGREEING = Duration.ofMillis(250);
 
   private static final SuspensionAwareClock MACHINE =
       new SuspensionAwareClock(System::nanoTime, System::currentTimeMillis, new UptimeFile());
@@ -33,8 +38,8 @@
   private final LongSupplier steadyNanos;
   private final LongSupplier timeOfDayMillis;
   private final BootClock bootClock;
-  private final OptionalLong bootAhead;
-  private final List<Consumer<Duration>> listeners = new CopyOnWriteArrayList<>();
+  private OptionalLong bootAhead;
+  private final List<Consumer<ClockJump>> listeners = new CopyOnWriteArrayList<>();
   private volatile long dayAhead;
   private volatile long suspendedNanos;
 
@@ -59,8 +64,8 @@
     return MACHINE;
   }
 
-  /** Tells a listener for how long the machine was suspended, on the thread that notices it. */
-  public void onSuspended(Consumer<Duration> listener) {
+  /** Tells a listener whenever the clocks have parted, on the thread that notices it. */
+  public void onJump(Consumer<ClockJump> listener) {
     listeners.add(listener);
   }
 
@@ -86,19 +91,26 @@
   }
 
   private void parted(long ahead) {
-    long more = 0;
+    ClockJump jump;
     synchronized (this) {
+      long dayJump = ahead - dayAhead;
       dayAhead = ahead;
-      OptionalLong now = bootAhead();
-      if (bootAhead.isPresent() && now.isPresent()) {
-        long found = now.getAsLong() - bootAhead.getAsLong() - suspendedNanos;
-        more = found > LEAST.toNanos() ? found : 0;
-        suspendedNanos += more;
-      }
+      long suspended = judged(dayJump);
+      suspendedNanos += suspended;
+      jump = new ClockJump(Duration.ofNanos(dayJump), Duration.ofNanos(suspended));
     }
-    if (more > 0) {
-      Duration suspended = Duration.ofNanos(more);
-      listeners.forEach(listener -> listener.accept(suspended));
+    listeners.forEach(listener -> listener.accept(jump));
+  }
+
+  /** Returns how much of a jump of the time of day was a suspension: all of it, or nothing. */
+  private long judged(long dayJump) {
+    OptionalLong before = bootAhead;
+    bootAhead = bootAhead();
+    if (before.isEmpty() || bootAhead.isEmpty()) {
+      return 0;
     }
+    long bootJump = bootAhead.getAsLong() - before.getAsLong();
+    boolean agree = Math.abs(bootJump - dayJump) <= AGREEING.toNanos();
+    return agree ? Math.max(0, bootJump) : 0;
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -98,6 +98,17 @@
     assertThat(connections).hasSize(2);
   }
 
+  @Test
+  void whereTimeMayHavePassedUnheardRestingConnectionsAreClosed() throws Exception {
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+    loop.submit(caller::closeResting).sync();
+
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+    assertThat(call("/a", ConnectionReuse.ANY)).isEqualTo("ok");
+
+    assertThat(connections).hasSize(2);
+  }
+
   @Test
   void callsThatWantConnectionsOfTheirOwnDoNotUseUpTheLimit() throws Exception {
     for (int i = 0; i < 5 * LIMIT; i++) {
