Verdict rows: an older reading lifts nothing, and only a cleared request loses its row

A table that was read before this box's own row was written lacked it, and that was taken for an operator's removal. A verdict that others explain at one box took its row away, which lifted it at all boxes and cleared what had ended, for the guilty one too where boxes judged differently for a moment.

--- a/gradeledge-core/src/main/java/org/gradeledge/node/VerdictKeeper.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/VerdictKeeper.java
@@ -52,7 +52,13 @@
   private final BooleanSupplier onDuty;
   private final EventLog events;
   private final Map<RequestFingerprint, Long> sinceMillis = new HashMap<>();
-  private final Set<String> stored = new HashSet<>();
+
+  /**
+   * Keys of rows that were read. What this box has written may be missing from an older reading.
+   */
+  private final Set<String> read = new HashSet<>();
+
+  private final Set<String> written = new HashSet<>();
 
   /**
    * Creates the keeper.
@@ -80,20 +86,20 @@
 
   @Override
   public void onContent(TableContent content) {
-    Set<String> before = Set.copyOf(stored);
-    stored.clear();
+    Set<String> before = Set.copyOf(read);
+    read.clear();
     content.rows().forEach(this::take);
-    before.stream().filter(key -> !stored.contains(key)).forEach(this::gone);
+    before.stream().filter(key -> !read.contains(key)).forEach(this::gone);
   }
 
   @Override
   public void onChanges(TableChanges changes) {
     changes.put().forEach(this::take);
-    changes.removed().stream().filter(stored::remove).forEach(this::gone);
+    changes.removed().stream().filter(this::isStored).forEach(this::gone);
   }
 
   private void take(TableRow row) {
-    stored.add(row.key());
+    read.add(row.key());
     if (VerdictRow.trialOf(row.key()).isEmpty()) {
       VerdictRow.read(row)
           .peek(this::hold)
@@ -112,7 +118,13 @@
     quarantine.merge(new SuspectNews(List.of(row.report(timeOfDayMillis.getAsLong())), List.of()));
   }
 
+  private boolean isStored(String key) {
+    return read.contains(key) || written.contains(key);
+  }
+
   private void gone(String key) {
+    read.remove(key);
+    written.remove(key);
     RequestFingerprint.parse(key).ifPresent(quarantine::lift);
   }
 
@@ -135,7 +147,7 @@
   /** Also what was reached while the store was away is written once it is back. */
   private void writeUnlessStored(Verdict verdict) {
     RequestFingerprint fingerprint = verdict.fingerprint();
-    if (stored.contains(fingerprint.toString()) || !quarantine.bars(fingerprint)) {
+    if (isStored(fingerprint.toString()) || !quarantine.bars(fingerprint)) {
       return;
     }
     if (!verdict.decidedHere() && !onDuty.getAsBoolean()) {
@@ -146,7 +158,7 @@
     table
         .create(new VerdictRow(fingerprint, verdict.starts(), since).write())
         .subscribe(
-            created -> loop.execute(() -> stored.add(fingerprint.toString())),
+            created -> loop.execute(() -> written.add(fingerprint.toString())),
             failure ->
                 loop.execute(
                     () -> {
@@ -163,15 +175,27 @@
         .write();
   }
 
+  /**
+   * Only a request that is cleared loses its row. One whose ends others explain keeps it: boxes may
+   * judge differently for a moment, and a row that goes clears the request at all of them.
+   */
   private void released(RequestFingerprint fingerprint) {
     events.change("request-let-go").with("fingerprint", fingerprint.toString()).write();
+    if (quarantine.endsUnder(fingerprint) == 0) {
+      removeRows(fingerprint);
+    }
+  }
+
+  private void removeRows(RequestFingerprint fingerprint) {
     sinceMillis.remove(fingerprint);
     List<String> keys = new ArrayList<>();
     keys.add(fingerprint.toString());
     for (int number = 1; number <= TRIALS.size(); number++) {
       keys.add(VerdictRow.trialKey(fingerprint, number));
     }
-    keys.removeIf(key -> !stored.remove(key));
+    keys.removeIf(key -> !isStored(key));
+    read.removeAll(keys);
+    written.removeAll(keys);
     if (!keys.isEmpty()) {
       table
           .remove(keys)
@@ -194,7 +218,7 @@
   @Override
   public Mono<Boolean> take(RequestFingerprint fingerprint) {
     String key = VerdictRow.trialKey(fingerprint, trialsTaken(fingerprint) + 1);
-    stored.add(key);
+    written.add(key);
     return table
         .create(new TableRow(key, new byte[0]))
         .doOnNext(granted -> loop.execute(() -> tellTrial(fingerprint, granted)));
@@ -210,7 +234,7 @@
 
   private int trialsTaken(RequestFingerprint fingerprint) {
     int taken = 0;
-    while (stored.contains(VerdictRow.trialKey(fingerprint, taken + 1))) {
+    while (isStored(VerdictRow.trialKey(fingerprint, taken + 1))) {
       taken++;
     }
     return taken;
--- a/gradeledge-core/src/test/java/org/gradeledge/node/VerdictKeeperTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/VerdictKeeperTests.java
@@ -141,6 +141,46 @@
     assertThat(box.quarantine.bars(KILLER)).isTrue();
   }
 
+  /** A reading that began before the row was written tells of the time before. */
+  @Test
+  void aReadingThatIsOlderThanTheRowLiftsNothing() {
+    Life box = new Life();
+    TableContent before = table.content();
+    box.reachVerdict();
+    pass(1);
+    assertThat(table.keys()).containsExactly(KEY);
+
+    box.keeper.onContent(before);
+
+    assertThat(box.quarantine.bars(KILLER)).isTrue();
+  }
+
+  /**
+   * Boxes may judge differently for a moment. A row that one of them removed for that would lift
+   * the verdict at all, and clear what ended.
+   */
+  @Test
+  void aVerdictThatOthersExplainKeepsItsRowAndIsNoneAfterAllBoxesWereLost() {
+    RequestFingerprint innocent = new RequestFingerprint(9, 9, 9);
+    Life box = new Life();
+    for (String start : List.of("a", "b", "c")) {
+      box.quarantine.endedUnder(innocent, start);
+    }
+    pass(1);
+    for (String start : List.of("a", "b", "c", "d")) {
+      box.quarantine.endedUnder(KILLER, start);
+    }
+    pass(1);
+    assertThat(box.quarantine.barred()).containsExactly(KILLER);
+    assertThat(table.keys()).contains(KEY, innocent.toString());
+
+    Life next = new Life();
+    next.read();
+    next.quarantine.endedUnder(KILLER, "d");
+
+    assertThat(next.quarantine.barred()).containsExactly(KILLER);
+  }
+
   @Test
   void anAnsweredRequestLosesItsRow() {
     Life box = new Life();
