--- a/gradeledge-core/src/test/java/org/gradeledge/batch/CrashingPiecesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/CrashingPiecesTests.java
@@ -33,7 +33,7 @@
 
   private static final int UPSTREAMS = 12;
   private static final int MOST_ENDED = 3;
-  private static final String KILLER = "killer";
+  private static final String GUILTY = "guilty";
 
   private final EventLoop loop = new DefaultEventLoop();
   private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
@@ -64,7 +64,7 @@
   void aRequestWhosePiecesEndTheirUpstreamsIsGivenUpAndAllOthersAreMade() throws Exception {
     loop.submit(
             () -> {
-              for (String request : List.of("a", "b", KILLER, "c", "d")) {
+              for (String request : List.of("a", "b", GUILTY, "c", "d")) {
                 coordinator.submit(
                     StageGroups.group(request, 2), result -> results.put(request, result));
               }
@@ -79,8 +79,8 @@
     assertThat(lost.get(0)).as("the call that they share").hasSize(8);
     assertThat(lost.stream().skip(1).flatMap(List::stream))
         .as("what was lost after that")
-        .allMatch(piece -> piece.startsWith(KILLER));
-    assertThat(results.get(KILLER).outcome()).isEqualTo(StageOutcome.FAILED);
+        .allMatch(piece -> piece.startsWith(GUILTY));
+    assertThat(results.get(GUILTY).outcome()).isEqualTo(StageOutcome.FAILED);
     assertThat(
             List.of("a", "b", "c", "d").stream()
                 .map(request -> results.get(request).outcome())
@@ -88,7 +88,10 @@
         .containsExactly(StageOutcome.MADE);
   }
 
-  /** Ends the upstream if the call has a piece of the killer, else makes all, if it is there. */
+  /**
+   * Ends the upstream if the call has a piece of the guilty request, else makes all, if it is
+   * there.
+   */
   private void serve(FakeUpstreamCaller.Call call) throws InterruptedException {
     List<String> pieces = Arrays.asList(call.body().split(" "));
     if (call.uri().equals("/free")) {
@@ -98,7 +101,7 @@
       loop.submit(() -> call.fail(CallFailure.NOT_CONNECTED)).sync();
       return;
     }
-    if (pieces.stream().noneMatch(piece -> piece.startsWith(KILLER))) {
+    if (pieces.stream().noneMatch(piece -> piece.startsWith(GUILTY))) {
       String handles =
           pieces.stream().map(piece -> "10.0.0.1:1/" + piece).collect(Collectors.joining(" "));
       loop.submit(() -> call.answer(200, handles)).sync();
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/SuspectExchangeTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/SuspectExchangeTests.java
@@ -16,7 +16,7 @@
 
   private static final int FEW = 4;
   private static final int MANY = 18;
-  private static final RequestFingerprint KILLER = new RequestFingerprint(1, 2, 3);
+  private static final RequestFingerprint GUILTY = new RequestFingerprint(1, 2, 3);
   private static final RequestFingerprint INNOCENT = new RequestFingerprint(4, 5, 6);
 
   private final BoxesInOneProcess boxes = new BoxesInOneProcess();
@@ -31,11 +31,11 @@
   void endsThatThreeBoxesSawAreOneVerdictAtAll(int count) throws Exception {
     start(count);
 
-    end(0, KILLER, "a");
-    end(1, KILLER, "b");
-    end(count - 1, KILLER, "c");
+    end(0, GUILTY, "a");
+    end(1, GUILTY, "b");
+    end(count - 1, GUILTY, "c");
 
-    boxes.await(() -> boxes.quarantines().stream().allMatch(box -> box.bars(KILLER)));
+    boxes.await(() -> boxes.quarantines().stream().allMatch(box -> box.bars(GUILTY)));
     assertThat(boxes.onLoop(() -> boxes.quarantines().stream().anyMatch(b -> b.bars(INNOCENT))))
         .isFalse();
   }
@@ -45,13 +45,13 @@
   void aBoxThatComesLaterLearnsTheVerdict(int count) throws Exception {
     start(count);
     for (String start : List.of("a", "b", "c")) {
-      end(0, KILLER, start);
+      end(0, GUILTY, start);
     }
-    boxes.await(() -> boxes.quarantines().stream().allMatch(box -> box.bars(KILLER)));
+    boxes.await(() -> boxes.quarantines().stream().allMatch(box -> box.bars(GUILTY)));
 
     boxes.startBox();
 
-    boxes.await(() -> newest().bars(KILLER));
+    boxes.await(() -> newest().bars(GUILTY));
   }
 
   @ParameterizedTest
@@ -59,17 +59,17 @@
   void whatIsLiftedAtOneBoxIsLiftedAtAll(int count) throws Exception {
     start(count);
     for (String start : List.of("a", "b", "c")) {
-      end(0, KILLER, start);
+      end(0, GUILTY, start);
     }
-    boxes.await(() -> boxes.quarantines().stream().allMatch(box -> box.bars(KILLER)));
+    boxes.await(() -> boxes.quarantines().stream().allMatch(box -> box.bars(GUILTY)));
 
     boxes.onLoop(
         () -> {
-          boxes.quarantines().get(1).lift(KILLER);
+          boxes.quarantines().get(1).lift(GUILTY);
           return true;
         });
 
-    boxes.await(() -> boxes.quarantines().stream().noneMatch(box -> box.bars(KILLER)));
+    boxes.await(() -> boxes.quarantines().stream().noneMatch(box -> box.bars(GUILTY)));
   }
 
   private void start(int count) throws Exception {
--- a/gradeledge-core/src/test/java/org/gradeledge/node/VerdictKeeperTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/VerdictKeeperTests.java
@@ -19,8 +19,8 @@
 /** Verdicts outlast the boxes, in virtual time. */
 class VerdictKeeperTests {
 
-  private static final RequestFingerprint KILLER = new RequestFingerprint(1, 2, 3);
-  private static final String KEY = KILLER.toString();
+  private static final RequestFingerprint GUILTY = new RequestFingerprint(1, 2, 3);
+  private static final String KEY = GUILTY.toString();
 
   private final TableInMemory table = new TableInMemory();
   private final List<Life> boxes = new ArrayList<>();
@@ -50,7 +50,7 @@
 
     void reachVerdict() {
       for (String start : List.of("a", "b", "c")) {
-        quarantine.endedUnder(KILLER, start);
+        quarantine.endedUnder(GUILTY, start);
       }
     }
 
@@ -67,8 +67,8 @@
     Life next = new Life();
     next.read();
 
-    assertThat(next.quarantine.bars(KILLER)).isTrue();
-    assertThat(next.keeper.untilNext(KILLER)).contains(Duration.ofMinutes(10).minusMillis(1));
+    assertThat(next.quarantine.bars(GUILTY)).isTrue();
+    assertThat(next.keeper.untilNext(GUILTY)).contains(Duration.ofMinutes(10).minusMillis(1));
   }
 
   @Test
@@ -114,7 +114,7 @@
 
     box.keeper.onChanges(new TableChanges(9, List.of(), List.of(KEY)));
 
-    assertThat(box.quarantine.bars(KILLER)).isFalse();
+    assertThat(box.quarantine.bars(GUILTY)).isFalse();
   }
 
   @Test
@@ -127,7 +127,7 @@
 
     box.keeper.onContent(new TableContent(9, List.of()));
 
-    assertThat(box.quarantine.bars(KILLER)).isFalse();
+    assertThat(box.quarantine.bars(GUILTY)).isFalse();
   }
 
   @Test
@@ -138,7 +138,7 @@
 
     box.keeper.onContent(new TableContent(9, List.of()));
 
-    assertThat(box.quarantine.bars(KILLER)).isTrue();
+    assertThat(box.quarantine.bars(GUILTY)).isTrue();
   }
 
   /** A reading that began before the row was written tells of the time before. */
@@ -152,7 +152,7 @@
 
     box.keeper.onContent(before);
 
-    assertThat(box.quarantine.bars(KILLER)).isTrue();
+    assertThat(box.quarantine.bars(GUILTY)).isTrue();
   }
 
   /**
@@ -168,17 +168,17 @@
     }
     pass(1);
     for (String start : List.of("a", "b", "c", "d")) {
-      box.quarantine.endedUnder(KILLER, start);
+      box.quarantine.endedUnder(GUILTY, start);
     }
     pass(1);
-    assertThat(box.quarantine.barred()).containsExactly(KILLER);
+    assertThat(box.quarantine.barred()).containsExactly(GUILTY);
     assertThat(table.keys()).contains(KEY, innocent.toString());
 
     Life next = new Life();
     next.read();
-    next.quarantine.endedUnder(KILLER, "d");
+    next.quarantine.endedUnder(GUILTY, "d");
 
-    assertThat(next.quarantine.barred()).containsExactly(KILLER);
+    assertThat(next.quarantine.barred()).containsExactly(GUILTY);
   }
 
   @Test
@@ -187,7 +187,7 @@
     box.reachVerdict();
     pass(1);
 
-    box.quarantine.answered(KILLER);
+    box.quarantine.answered(GUILTY);
     pass(1);
 
     assertThat(table.keys()).isEmpty();
@@ -230,7 +230,7 @@
     second.read();
     pass(TimeUnit.DAYS.toMillis(9));
     assertThat(granted(first, second)).isZero();
-    assertThat(second.keeper.untilNext(KILLER)).isEmpty();
+    assertThat(second.keeper.untilNext(GUILTY)).isEmpty();
   }
 
   /** A box that has not read that another one took the trial asks and is told no. */
@@ -243,14 +243,14 @@
     second.read();
     pass(TimeUnit.MINUTES.toMillis(10));
 
-    assertThat(first.keeper.take(KILLER).block()).isTrue();
-    assertThat(second.keeper.take(KILLER).block()).isFalse();
+    assertThat(first.keeper.take(GUILTY).block()).isTrue();
+    assertThat(second.keeper.take(GUILTY).block()).isFalse();
   }
 
   private long granted(Life... asking) {
     return List.of(asking).stream()
-        .filter(box -> isDue(box.keeper.untilNext(KILLER)))
-        .filter(box -> box.keeper.take(KILLER).block())
+        .filter(box -> isDue(box.keeper.untilNext(GUILTY)))
+        .filter(box -> box.keeper.take(GUILTY).block())
         .count();
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/quarantine/DeploymentModel.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/quarantine/DeploymentModel.java
@@ -14,7 +14,8 @@
 final class DeploymentModel {
 
   /** What a seed varies, and what tests set. */
-  record Plan(int boxes, int upstreams, int killers, long newsMillis, double crashesPerSecond) {}
+  record Plan(
+      int boxes, int upstreams, int guiltyRequests, long newsMillis, double crashesPerSecond) {}
 
   private static final long LENGTH_MILLIS = 60_000;
   private static final int REQUESTS_PER_SECOND = 60;
@@ -37,7 +38,7 @@
   private final List<Upstream> upstreams = new ArrayList<>();
   private long nowMillis;
   private long order;
-  private int endedByKillers;
+  private int endedByGuilty;
   private int innocentSent;
   private int innocentHeldBack;
 
@@ -53,20 +54,20 @@
   private final class Run {
 
     private final RequestFingerprint request;
-    private final boolean killer;
+    private final boolean guilty;
     private final Quarantine box;
     private int tries;
     private boolean over;
 
-    Run(RequestFingerprint request, boolean killer, Quarantine box) {
+    Run(RequestFingerprint request, boolean guilty, Quarantine box) {
       this.request = request;
-      this.killer = killer;
+      this.guilty = guilty;
       this.box = box;
     }
 
     void send() {
       if (box.bars(request)) {
-        innocentHeldBack += killer ? 0 : 1;
+        innocentHeldBack += guilty ? 0 : 1;
         return;
       }
       List<Upstream> up = upstreams.stream().filter(each -> !each.down).toList();
@@ -74,12 +75,12 @@
         return;
       }
       tries++;
-      innocentSent += killer ? 0 : 1;
+      innocentSent += guilty ? 0 : 1;
       Upstream upstream = up.get(random.nextInt(up.size()));
       upstream.running.add(this);
       int start = upstream.starts;
-      long spread = killer ? CRASHES_AFTER_MILLIS : LONGEST_RUN_MILLIS - SHORTEST_RUN_MILLIS;
-      long millis = (killer ? 10 : SHORTEST_RUN_MILLIS) + (long) (random.nextDouble() * spread);
+      long spread = guilty ? CRASHES_AFTER_MILLIS : LONGEST_RUN_MILLIS - SHORTEST_RUN_MILLIS;
+      long millis = (guilty ? 10 : SHORTEST_RUN_MILLIS) + (long) (random.nextDouble() * spread);
       after(millis, () -> finished(upstream, start));
     }
 
@@ -87,8 +88,8 @@
       if (upstream.starts != start || !upstream.running.contains(this)) {
         return;
       }
-      if (killer) {
-        endedByKillers++;
+      if (guilty) {
+        endedByGuilty++;
         crash(upstream);
       } else if (!over) {
         over = true;
@@ -127,9 +128,9 @@
       int popular = (int) (DIFFERENT * Math.pow(random.nextDouble(), 2));
       arrive(new RequestFingerprint(INNOCENT, popular, popular), false);
     }
-    for (int killer = 0; killer < plan.killers(); killer++) {
+    for (int guilty = 0; guilty < plan.guiltyRequests(); guilty++) {
       for (int copy = 0; copy < 40; copy++) {
-        arrive(new RequestFingerprint(GUILTY, killer, -1 - killer), true);
+        arrive(new RequestFingerprint(GUILTY, guilty, -1 - guilty), true);
       }
     }
     for (int crash = 0; crash < plan.crashesPerSecond() * LENGTH_MILLIS / 1_000; crash++) {
@@ -145,9 +146,9 @@
     return this;
   }
 
-  private void arrive(RequestFingerprint request, boolean killer) {
+  private void arrive(RequestFingerprint request, boolean guilty) {
     Quarantine box = boxes.get(random.nextInt(boxes.size()));
-    after(random.nextInt((int) LENGTH_MILLIS), () -> new Run(request, killer, box).send());
+    after(random.nextInt((int) LENGTH_MILLIS), () -> new Run(request, guilty, box).send());
   }
 
   private void crash(Upstream upstream) {
@@ -177,8 +178,8 @@
     events.add(new Event(nowMillis + millis, order++, action));
   }
 
-  int endedByKillers() {
-    return endedByKillers;
+  int endedByGuilty() {
+    return endedByGuilty;
   }
 
   int innocentHeldBack() {
--- a/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineInDeploymentTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineInDeploymentTests.java
@@ -31,12 +31,12 @@
 
   @Test
   void requestsThatEndUpstreamsEndFewAndTheInnocentBesideThemAreServed() {
-    for (int killers = 1; killers <= 3; killers++) {
-      int most = killers * MOST_ENDED;
+    for (int guiltyRequests = 1; guiltyRequests <= 3; guiltyRequests++) {
+      int most = guiltyRequests * MOST_ENDED;
       List<DeploymentModel> played =
-          play(new DeploymentModel.Plan(8, 18, killers, FEW_BOXES_NEWS_MILLIS, SELDOM), 30);
+          play(new DeploymentModel.Plan(8, 18, guiltyRequests, FEW_BOXES_NEWS_MILLIS, SELDOM), 30);
 
-      assertThat(played).allMatch(model -> model.endedByKillers() <= most);
+      assertThat(played).allMatch(model -> model.endedByGuilty() <= most);
       assertThat(shareHeldBack(played)).isLessThan(HELD_BACK_FOR_A_MOMENT);
       assertThat(played).allMatch(model -> model.innocentHeldBackAtTheEnd() == 0);
     }
@@ -47,7 +47,7 @@
     List<DeploymentModel> played =
         play(new DeploymentModel.Plan(60, 90, 2, MANY_BOXES_NEWS_MILLIS, SELDOM), 20);
 
-    assertThat(played).allMatch(model -> model.endedByKillers() <= 2 * (MOST_ENDED + 1));
+    assertThat(played).allMatch(model -> model.endedByGuilty() <= 2 * (MOST_ENDED + 1));
     assertThat(shareHeldBack(played)).isLessThan(HELD_BACK_FOR_A_MOMENT);
   }
 
@@ -70,8 +70,8 @@
     double sent = played.stream().mapToInt(DeploymentModel::innocentSent).sum();
     double heldBack = played.stream().mapToInt(DeploymentModel::innocentHeldBack).sum();
     System.out.printf(
-        "ended by killers %s, innocent sent %.0f, held back %.0f%n",
-        played.stream().mapToInt(DeploymentModel::endedByKillers).summaryStatistics(),
+        "ended by guilty requests %s, innocent sent %.0f, held back %.0f%n",
+        played.stream().mapToInt(DeploymentModel::endedByGuilty).summaryStatistics(),
         sent,
         heldBack);
     return heldBack / sent;
--- a/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineTests.java
@@ -14,7 +14,7 @@
 
 class QuarantineTests {
 
-  private static final RequestFingerprint KILLER = new RequestFingerprint(1, 1, 11);
+  private static final RequestFingerprint GUILTY = new RequestFingerprint(1, 1, 11);
   private static final RequestFingerprint INNOCENT = new RequestFingerprint(2, 2, 22);
 
   private long now = TimeUnit.DAYS.toNanos(1);
@@ -25,12 +25,12 @@
     List<Verdict> verdicts = new ArrayList<>();
     quarantine.onVerdict(verdicts::add);
 
-    end(KILLER, "a", "b");
-    assertThat(quarantine.bars(KILLER)).isFalse();
-    assertThat(quarantine.endsUnder(KILLER)).isEqualTo(2);
-    end(KILLER, "c");
+    end(GUILTY, "a", "b");
+    assertThat(quarantine.bars(GUILTY)).isFalse();
+    assertThat(quarantine.endsUnder(GUILTY)).isEqualTo(2);
+    end(GUILTY, "c");
 
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
     assertThat(quarantine.bars(INNOCENT)).isFalse();
     assertThat(verdicts).hasSize(1);
     assertThat(verdicts.get(0).starts()).containsExactly("a", "b", "c");
@@ -39,9 +39,9 @@
 
   @Test
   void oneUpstreamThatTookAlongSeveralCopiesCountsOnce() {
-    end(KILLER, "a", "a", "a");
+    end(GUILTY, "a", "a", "a");
 
-    assertThat(quarantine.endsUnder(KILLER)).isEqualTo(1);
+    assertThat(quarantine.endsUnder(GUILTY)).isEqualTo(1);
   }
 
   @Test
@@ -58,10 +58,10 @@
 
   @Test
   void whatEndedUnderAHeldBackRequestBlamesNobodyElse() {
-    end(KILLER, "a", "b", "c", "d");
+    end(GUILTY, "a", "b", "c", "d");
     end(INNOCENT, "a", "b", "c");
 
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
     assertThat(quarantine.bars(INNOCENT)).isFalse();
   }
 
@@ -72,19 +72,19 @@
     end(INNOCENT, "a", "b", "c");
     assertThat(quarantine.bars(INNOCENT)).isTrue();
 
-    end(KILLER, "a", "b", "c", "d");
+    end(GUILTY, "a", "b", "c", "d");
 
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
     assertThat(released).containsExactly(INNOCENT);
   }
 
   @Test
   void twoGuiltyRequestsThatOnceRanTogetherAreBothHeldBack() {
     RequestFingerprint other = new RequestFingerprint(3, 3, 33);
-    end(KILLER, "a", "b", "c");
+    end(GUILTY, "a", "b", "c");
     end(other, "c", "d", "e", "f");
 
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
     assertThat(quarantine.bars(other)).isTrue();
   }
 
@@ -105,40 +105,40 @@
 
   @Test
   void onlyRequestsOfAKnownShapeNeedALook() {
-    assertThat(quarantine.knowsShape(KILLER.shape())).isFalse();
-    end(KILLER, "a");
-    assertThat(quarantine.knowsShape(KILLER.shape())).isTrue();
+    assertThat(quarantine.knowsShape(GUILTY.shape())).isFalse();
+    end(GUILTY, "a");
+    assertThat(quarantine.knowsShape(GUILTY.shape())).isTrue();
     assertThat(quarantine.knowsShape(INNOCENT.shape())).isFalse();
 
     pass(1);
-    quarantine.answered(KILLER);
+    quarantine.answered(GUILTY);
 
-    assertThat(quarantine.knowsShape(KILLER.shape())).isFalse();
+    assertThat(quarantine.knowsShape(GUILTY.shape())).isFalse();
   }
 
   @Test
   void endsThatLedToNoVerdictAreForgottenAndVerdictsAreNot() {
-    end(KILLER, "a", "b", "c");
+    end(GUILTY, "a", "b", "c");
     end(INNOCENT, "d", "e");
     pass(Suspects.KEPT.toMillis() + 1);
 
     end(new RequestFingerprint(9, 9, 9), "x");
 
     assertThat(quarantine.endsUnder(INNOCENT)).isZero();
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
   }
 
   /** An upstream takes hundreds along; the one that is looked for must not be lost among them. */
   @Test
   void manyThatWereSeenOnceDoNotDriveOutWhatWasSeenTwice() {
-    end(KILLER, "a", "b");
+    end(GUILTY, "a", "b");
     for (int number = 0; number < 3 * Suspects.MOST_REQUESTS; number++) {
       pass(1);
       end(new RequestFingerprint(number, 7, number), "b");
     }
-    end(KILLER, "c");
+    end(GUILTY, "c");
 
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
     assertThat(quarantine.all().reports()).hasSizeLessThanOrEqualTo(Suspects.MOST_REQUESTS);
   }
 
@@ -152,7 +152,7 @@
     }
     int ends = 1 + random.nextInt(6);
     for (int end = 0; end < ends; end++) {
-      boxes.get(random.nextInt(4)).endedUnder(KILLER, "start-" + end);
+      boxes.get(random.nextInt(4)).endedUnder(GUILTY, "start-" + end);
       boxes.get(random.nextInt(4)).endedUnder(INNOCENT, "start-" + random.nextInt(2));
     }
     List<SuspectNews> news = new ArrayList<>();
@@ -163,7 +163,7 @@
     }
 
     for (Quarantine box : boxes) {
-      assertThat(box.bars(KILLER)).isEqualTo(ends >= Quarantine.ENDS_OF_VERDICT);
+      assertThat(box.bars(GUILTY)).isEqualTo(ends >= Quarantine.ENDS_OF_VERDICT);
       assertThat(box.bars(INNOCENT)).isFalse();
       assertThat(box.digest()).isEqualTo(boxes.get(0).digest());
     }
@@ -171,7 +171,7 @@
 
   @Test
   void whatIsToldOnceMoreIsNoNews() {
-    end(KILLER, "a", "b");
+    end(GUILTY, "a", "b");
     Quarantine other = new Quarantine(() -> now);
 
     assertThat(other.merge(quarantine.takeNews()).isEmpty()).isFalse();
@@ -186,7 +186,7 @@
   void aVerdictThatIsToldHolds() {
     SuspectReport report =
         new SuspectReport(
-            KILLER,
+            GUILTY,
             List.of(
                 new EndReport("a", 5, false),
                 new EndReport("b", 5, false),
@@ -197,24 +197,24 @@
 
     quarantine.merge(new SuspectNews(List.of(report), List.of()));
 
-    assertThat(quarantine.bars(KILLER)).isTrue();
+    assertThat(quarantine.bars(GUILTY)).isTrue();
     assertThat(verdicts).extracting(Verdict::decidedHere).containsExactly(false);
   }
 
   @Test
   void whatIsLiftedAtOneBoxIsLiftedAtAll() {
-    end(KILLER, "a", "b", "c");
+    end(GUILTY, "a", "b", "c");
     Quarantine other = new Quarantine(() -> now);
     other.merge(quarantine.takeNews());
     pass(200);
 
-    other.lift(KILLER);
+    other.lift(GUILTY);
     quarantine.merge(other.takeNews());
     pass(200);
     other.merge(quarantine.all());
 
-    assertThat(quarantine.bars(KILLER)).isFalse();
-    assertThat(other.bars(KILLER)).isFalse();
+    assertThat(quarantine.bars(GUILTY)).isFalse();
+    assertThat(other.bars(GUILTY)).isFalse();
   }
 
   private void end(RequestFingerprint fingerprint, String... starts) {
