The last heartbeat of a box that has ended does not go round for ever

Traced by the views that the test tells since it failed: a heartbeat that is passed on is told with its age, which is less by the time of each way; on busy boxes the same one seemed newer, was taken again, also by boxes that had lost its sender, and passed on. Now each heartbeat has a number that rises over a box's lives; three of four tests failed first (the fourth says that a box comes back). News within 60 ms of a heartbeat was passed over by the same rule, and is not any more.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
@@ -28,7 +28,11 @@
 
   /** Returns what is told to all others. */
   Heartbeat heartbeat(
-      String zone, boolean leaving, int strength, Map<String, List<Long>> backlogMillis) {
+      String zone,
+      boolean leaving,
+      int strength,
+      Map<String, List<Long>> backlogMillis,
+      long number) {
     return new Heartbeat(
         zone,
         leaving,
@@ -42,7 +46,8 @@
         toCome.own(),
         upstreams.evacuations(),
         quarantine.digest(),
-        upstreams.trust().code());
+        upstreams.trust().code(),
+        number);
   }
 
   /** Forgets what a box told of itself, as it is lost. */
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -55,6 +55,7 @@
   private final LostBoxes lost;
   private final SuspectExchange suspects;
   private final ListDoubts listDoubts;
+  private final BeatNumbers numbers;
   private long newestConfiguration = -1;
   private long newestUpstreams = -1;
   private boolean leaving;
@@ -86,6 +87,7 @@
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
     this.peers = new PeerBoard(self, zone, strength, clock, events);
     this.relay = new HeartbeatRelay(self, clock);
+    this.numbers = new BeatNumbers(clock, System.currentTimeMillis());
     this.links = new MeshLinks(network, clock);
     this.routes =
         new HeartbeatRoutes(self, zone, peers, network::connectedIds, links::isUnreachable);
@@ -215,7 +217,7 @@
   }
 
   private Heartbeat own() {
-    return beliefs.heartbeat(zone, leaving, strength, backlogs.get());
+    return beliefs.heartbeat(zone, leaving, strength, backlogs.get(), numbers.next());
   }
 
   private void heardDirectly(String box, Heartbeat beat) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -39,7 +39,8 @@
     Map<String, List<Long>> piecesToCome,
     ZoneEvacuations evacuations,
     long suspects,
-    int listTrust) {
+    int listTrust,
+    long number) {
 
   /** Returns whether the box knows so few others that it tells all of them what it hears. */
   boolean isOfFew() {
@@ -61,7 +62,8 @@
         piecesToCome,
         evacuations,
         suspects,
-        listTrust);
+        listTrust,
+        number);
   }
 
   /** Returns the same, to be passed on. */
@@ -79,6 +81,7 @@
         piecesToCome,
         evacuations,
         suspects,
-        listTrust);
+        listTrust,
+        number);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -14,12 +14,13 @@
 /** Heartbeats, as arrays. */
 final class HeartbeatFormat implements MessageFormat<Heartbeat> {
 
-  private static final int FIELDS = 13;
+  private static final int FIELDS = 14;
 
   /** Fields that all older boxes send; some know of no evacuations, suspects, or doubts. */
   private static final int FIRST_FIELDS = 10;
 
   private static final long NO_SUSPECTS = 0;
+  private static final long NO_NUMBER = 0;
   private static final int SHARE_FIELDS = 2;
   private static final int EVACUATION_FIELDS = 2;
 
@@ -48,6 +49,7 @@
     write(packer, beat.evacuations());
     packer.packLong(beat.suspects());
     packer.packInt(beat.listTrust());
+    packer.packLong(beat.number());
   }
 
   private static void write(MessagePacker packer, ZoneEvacuations evacuations) throws IOException {
@@ -88,8 +90,9 @@
             reader.map(HeartbeatFormat::readNumbers),
             more > 0 ? readEvacuations(reader) : ZoneEvacuations.UNKNOWN,
             more > 1 ? reader.number() : NO_SUSPECTS,
-            more > 2 ? reader.integer() : ListTrust.UNKNOWN.code());
-    reader.skip(Math.max(0, more - 3));
+            more > 2 ? reader.integer() : ListTrust.UNKNOWN.code(),
+            more > 3 ? reader.number() : NO_NUMBER);
+    reader.skip(Math.max(0, more - 4));
     return beat;
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRelay.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatRelay.java
@@ -15,9 +15,14 @@
  */
 final class HeartbeatRelay {
 
-  /** The same heartbeat that comes over two relays seems to differ in age by less than this. */
+  /**
+   * The same heartbeat that comes over two relays seems to differ in age by less than this. Only
+   * for those of older boxes, which have no number.
+   */
   private static final long SAME_MILLIS = 60;
 
+  private static final long NO_NUMBER = 0;
+
   private static final long NANOS_OF_MILLI = 1_000_000;
 
   private record Held(Heartbeat beat, long heardNanos) {}
@@ -27,6 +32,9 @@
   private final Map<String, Held> latest = new HashMap<>();
   private final Map<String, Long> askedNanos = new HashMap<>();
 
+  /** Kept when a box is lost: its last heartbeat, still on its way, must not bring it back. */
+  private final Map<String, Long> newestNumbers = new HashMap<>();
+
   HeartbeatRelay(String self, MonotonicClock clock) {
     this.self = self;
     this.clock = clock;
@@ -35,7 +43,7 @@
   /** Takes in what a box told directly, and whether it asks for its heartbeats to be passed on. */
   void heard(String box, Heartbeat beat) {
     long now = clock.nanos();
-    latest.put(box, new Held(beat, now));
+    hold(box, beat, now);
     if (beat.relayAsked()) {
       askedNanos.put(box, now);
     }
@@ -51,12 +59,31 @@
 
   private boolean take(DigestEntry entry) {
     long heardNanos = clock.nanos() - entry.ageMillis() * NANOS_OF_MILLI;
+    boolean newer = isNewer(entry, heardNanos);
+    if (newer) {
+      hold(entry.box(), entry.beat(), heardNanos);
+    }
+    return newer;
+  }
+
+  /**
+   * A number tells it for sure. An age is less by the time that each way takes, so that what goes
+   * round on busy boxes would seem newer each time.
+   */
+  private boolean isNewer(DigestEntry entry, long heardNanos) {
+    Long newest = newestNumbers.get(entry.box());
+    if (newest != null && entry.beat().number() != NO_NUMBER) {
+      return entry.beat().number() > newest;
+    }
     Held known = latest.get(entry.box());
-    if (known != null && heardNanos - known.heardNanos() < SAME_MILLIS * NANOS_OF_MILLI) {
-      return false;
+    return known == null || heardNanos - known.heardNanos() >= SAME_MILLIS * NANOS_OF_MILLI;
+  }
+
+  private void hold(String box, Heartbeat beat, long heardNanos) {
+    latest.put(box, new Held(beat, heardNanos));
+    if (beat.number() != NO_NUMBER) {
+      newestNumbers.put(box, beat.number());
     }
-    latest.put(entry.box(), new Held(entry.beat(), heardNanos));
-    return true;
   }
 
   /** Forgets a box that is lost. */
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/HeartbeatRelayTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/HeartbeatRelayTests.java
@@ -57,6 +57,63 @@
         .contains(new DigestEntry("one", 0, Heartbeats.of("zone-a", 7)));
   }
 
+  /**
+   * Seen: boxes went on hearing one that had ended, for minutes, while others had lost it.
+   *
+   * <p>How it came about: what boxes told each other of its last heartbeat was as old as told when
+   * it was sent, and seemed younger by the time that it took to arrive. On busy boxes that was more
+   * than by which the same heartbeat may differ, so that it was taken for a newer one, and passed
+   * on again and again, also by boxes that had lost the box before.
+   *
+   * <p>Cause: a heartbeat was known by its age, which each way makes a little less. Proof: what is
+   * told again here, always as old as at first.
+   */
+  @Test
+  void theLastHeartbeatOfABoxThatHasEndedDoesNotGoRoundForEver() {
+    Heartbeat last = Heartbeats.numbered("zone-b", 77);
+    DigestEntry told = new DigestEntry("gone", 100, last);
+    assertThat(relay.takeNewer(new Digest(List.of(told)))).containsExactly(told);
+
+    for (int times = 0; times < 20; times++) {
+      nowNanos += 400 * MILLI;
+      assertThat(relay.takeNewer(new Digest(List.of(told)))).isEmpty();
+    }
+    relay.forget("gone");
+
+    assertThat(relay.takeNewer(new Digest(List.of(told)))).isEmpty();
+    assertThat(relay.ofAll(OWN).entries()).extracting(DigestEntry::box).containsExactly("self");
+  }
+
+  @Test
+  void aBoxThatIsBackIsHeardByItsNextHeartbeat() {
+    relay.takeNewer(
+        new Digest(List.of(new DigestEntry("back", 0, Heartbeats.numbered("zone-b", 77)))));
+    relay.forget("back");
+    DigestEntry next = new DigestEntry("back", 0, Heartbeats.numbered("zone-b", 78));
+
+    assertThat(relay.takeNewer(new Digest(List.of(next)))).containsExactly(next);
+  }
+
+  /** The time of day of its machine was set back meanwhile. */
+  @Test
+  void whoIsHeardDirectlyIsThereWhateverItsNumber() {
+    relay.heard("back", Heartbeats.numbered("zone-b", 77));
+    relay.heard("back", Heartbeats.numbered("zone-b", 5));
+    DigestEntry next = new DigestEntry("back", 0, Heartbeats.numbered("zone-b", 6));
+
+    assertThat(relay.takeNewer(new Digest(List.of(next)))).containsExactly(next);
+  }
+
+  /** News that follows a heartbeat within a few milliseconds is not the same heartbeat. */
+  @Test
+  void theNextHeartbeatIsNewHoweverSoonItComes() {
+    relay.takeNewer(
+        new Digest(List.of(new DigestEntry("far", 100, Heartbeats.numbered("zone-b", 77)))));
+    DigestEntry next = new DigestEntry("far", 100, Heartbeats.numbered("zone-b", 78));
+
+    assertThat(relay.takeNewer(new Digest(List.of(next)))).containsExactly(next);
+  }
+
   @Test
   void doesNotTakeItsOwnHeartbeatBack() {
     DigestEntry own = new DigestEntry("self", 0, OWN);
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
@@ -9,7 +9,16 @@
 
   private Heartbeats() {}
 
+  /** Returns one as older boxes send it, without a number. */
   static Heartbeat of(String zone, long configuration) {
+    return of(zone, configuration, 0);
+  }
+
+  static Heartbeat numbered(String zone, long number) {
+    return of(zone, 0, number);
+  }
+
+  private static Heartbeat of(String zone, long configuration, long number) {
     return new Heartbeat(
         zone,
         false,
@@ -23,6 +32,7 @@
         Map.of(),
         ZoneEvacuations.UNKNOWN,
         0,
-        0);
+        0,
+        number);
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -198,8 +198,9 @@
     byte[] bytes = MessageFormats.write(new HeartbeatFormat(), beat);
     int suspects = 1;
     int doubts = 1;
-    byte[] older = Arrays.copyOf(bytes, bytes.length - doubts - suspects);
-    older[0] -= 2;
+    int number = 1;
+    byte[] older = Arrays.copyOf(bytes, bytes.length - number - doubts - suspects);
+    older[0] -= 3;
     int evacuations = 3;
     byte[] oldest = Arrays.copyOf(older, older.length - evacuations);
     oldest[0]--;
@@ -249,7 +250,8 @@
         Map.of("encode", List.of(number(random))),
         new ZoneEvacuations(number(random), Set.of(text(random))),
         number(random),
-        random.nextInt(3));
+        random.nextInt(3),
+        number(random));
   }
 
   private static long number(Random random) {
