Read again: one writer of lists of texts, one rule on who speaks to other zones, pages that name every field of a heartbeat

Written again by this change: the loop that writes a list of texts stood in five message formats (TextLists serves all, same bytes: the properties of MeshFormatsTests are unchanged); the rule when a box speaks to the relays of other zones stood three times, and the exchange of suspects worked its relays out twice a message (HeartbeatSender.nextForNews). Three tests of fleets start their boxes by one loop (Fleet.startBoxes); startBox said that it waits until the box is ready, which it never did. The heartbeat's page lacked its number and told another field wrongly; a verdict falls once others explain nearly all of its ends, not all.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -22,8 +22,9 @@
  * @param piecesToCome pieces that its requests will want made, by service and priority
  * @param evacuations zones whose upstreams take nothing new
  * @param suspects a number that is the same where the same is known of requests that end upstreams
- * @param listTrust whether its list of upstreams lacks entries that may only have lapsed, as it has
- *     noticed itself
+ * @param listTrust code of the {@link org.gradeledge.discovery.ListTrust} that it has in its list
+ *     of upstreams
+ * @param number rises with each heartbeat of a box, also over its lives; 0 from older boxes
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record Heartbeat(
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -33,10 +33,7 @@
     packer.packInt(beat.strength());
     packer.packLong(beat.configuration());
     packer.packLong(beat.upstreams());
-    packer.packArrayHeader(beat.boxes().size());
-    for (String box : beat.boxes()) {
-      packer.packString(box);
-    }
+    TextLists.write(packer, beat.boxes());
     packer.packMapHeader(beat.shares().size());
     for (Map.Entry<String, LoadShare> share : beat.shares().entrySet()) {
       packer.packString(share.getKey());
@@ -55,10 +52,7 @@
   private static void write(MessagePacker packer, ZoneEvacuations evacuations) throws IOException {
     packer.packArrayHeader(EVACUATION_FIELDS);
     packer.packLong(evacuations.revision());
-    packer.packArrayHeader(evacuations.zones().size());
-    for (String zone : evacuations.zones()) {
-      packer.packString(zone);
-    }
+    TextLists.write(packer, evacuations.zones());
   }
 
   private static void writeNumbers(MessagePacker packer, Map<String, List<Long>> lists)
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatSender.java
@@ -134,17 +134,32 @@
     Set<String> flock = flock();
     Set<String> boxes = new HashSet<>(routes.ownCandidates());
     boxes.addAll(flock);
-    if (!flock.isEmpty() || routes.isRelay()) {
+    if (speaksToOtherZones(flock)) {
       boxes.addAll(routes.foreignCandidates());
     }
     return boxes;
   }
 
+  /** Returns whom news goes to, where there are many boxes and each passes on what is new to it. */
+  Set<String> nextForNews() {
+    Set<String> flock = flock();
+    Set<String> boxes = new HashSet<>(routes.ownRelays());
+    boxes.addAll(flock);
+    if (speaksToOtherZones(flock)) {
+      boxes.addAll(routes.foreignRelays());
+    }
+    return boxes;
+  }
+
   /** Returns the boxes that this one passes heartbeats on for. */
-  Set<String> flock() {
+  private Set<String> flock() {
     return relay.flock(silenceMillis());
   }
 
+  private boolean speaksToOtherZones(Set<String> flock) {
+    return !flock.isEmpty() || routes.isRelay();
+  }
+
   /** Notes that a digest has come. */
   void heardDigest() {
     digestNanos = clock.nanos();
@@ -165,7 +180,7 @@
     if (!flock.isEmpty()) {
       network.tellEach(flock, MeshMessages.DIGEST, relay.ofAll(beat));
     }
-    if (!flock.isEmpty() || routes.isRelay()) {
+    if (speaksToOtherZones(flock)) {
       network.tellEach(routes.foreignRelays(), MeshMessages.DIGEST, relay.of(flock, beat));
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/StageFreeFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/StageFreeFormat.java
@@ -15,10 +15,8 @@
   @Override
   public void write(MessagePacker packer, StageFree message) throws IOException {
     packer.packMapHeader(FIELDS);
-    packer.packString(HANDLES).packArrayHeader(message.handles().size());
-    for (String each : message.handles()) {
-      packer.packString(each);
-    }
+    packer.packString(HANDLES);
+    TextLists.write(packer, message.handles());
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/StageGroupFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/StageGroupFormat.java
@@ -39,10 +39,8 @@
     } else {
       packer.packNil();
     }
-    packer.packString(INPUTS).packArrayHeader(message.inputs().size());
-    for (String each : message.inputs()) {
-      packer.packString(each);
-    }
+    packer.packString(INPUTS);
+    TextLists.write(packer, message.inputs());
     packer.packString(INPUT_BYTES).packLong(message.inputBytes());
     packer.packString(RESULT_BYTES).packLong(message.resultBytes());
     packer.packString(ZONE).packString(message.zone());
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/StageGroupResultFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/StageGroupResultFormat.java
@@ -1,7 +1,6 @@
 package org.gradeledge.mesh;
 
 import java.io.IOException;
-import java.util.List;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.batch.StageOutcome;
 import org.gradeledge.peer.MessageFields;
@@ -25,19 +24,12 @@
     packer.packMapHeader(FIELDS);
     packer.packString(OUTCOME).packString(message.outcome().name());
     packer.packString(HANDLES);
-    write(packer, message.handles());
+    TextLists.write(packer, message.handles());
     packer.packString(BOX).packString(message.box());
     packer.packString(COME_BACK_MILLIS).packLong(message.comeBackMillis());
     packer.packString(WAITED_MILLIS).packLong(message.waitedMillis());
     packer.packString(ENDED_UPSTREAMS);
-    write(packer, message.endedUpstreams());
-  }
-
-  private static void write(MessagePacker packer, List<String> texts) throws IOException {
-    packer.packArrayHeader(texts.size());
-    for (String text : texts) {
-      packer.packString(text);
-    }
+    TextLists.write(packer, message.endedUpstreams());
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/SuspectExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/SuspectExchange.java
@@ -2,9 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.quarantine.Quarantine;
@@ -79,12 +77,7 @@
       network.tellAll(MeshMessages.SUSPECTS, news);
       return;
     }
-    Set<String> next = new HashSet<>(routes.ownRelays());
-    next.addAll(sender.flock());
-    if (!sender.flock().isEmpty() || routes.isRelay()) {
-      next.addAll(routes.foreignRelays());
-    }
-    network.tellEach(next, MeshMessages.SUSPECTS, news);
+    network.tellEach(sender.nextForNews(), MeshMessages.SUSPECTS, news);
   }
 
   /** Hears from a connected box by its own heartbeat what it knows, as a number. */
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/SuspectNewsFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/SuspectNewsFormat.java
@@ -23,10 +23,7 @@
     for (SuspectReport report : news.reports()) {
       write(packer, report);
     }
-    packer.packArrayHeader(news.living().size());
-    for (String start : news.living()) {
-      packer.packString(start);
-    }
+    TextLists.write(packer, news.living());
   }
 
   private static void write(MessagePacker packer, SuspectReport report) throws IOException {
--- a/gradeledge-core/src/main/java/org/gradeledge/quarantine/Quarantine.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/quarantine/Quarantine.java
@@ -174,7 +174,7 @@
   /**
    * Judges all anew; returns the requests whose verdict has changed. Those under which most have
    * ended go first, as they explain ends that others are not blamed for. A verdict stands until the
-   * request is cleared, the ends are denied, or others explain all of them.
+   * request is cleared, the ends are denied, or others explain nearly all of them.
    */
   private List<RequestFingerprint> judge(boolean here) {
     suspects.forgetNowAndThen(clock.nanos());
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -53,7 +53,15 @@
     return engine;
   }
 
-  /** Starts a box and waits until it is ready. */
+  /** Starts boxes, one after the other, each once the one before is ready. */
+  void startBoxes(int count) throws Exception {
+    for (int box = 0; box < count; box++) {
+      startBox();
+      awaitReady(box);
+    }
+  }
+
+  /** Starts a box; it need not be ready yet. */
   void startBox() throws Exception {
     List<Integer> ports = FreePorts.find(4);
     LoopResources resources = LoopResources.create("box-" + boxes.size(), 1, 1, true, false);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetBoxesTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetBoxesTests.java
@@ -33,10 +33,7 @@
     plain = fleet.engine("plain", EngineKind.PLAIN);
     model = fleet.engine("model", EngineKind.STREAM);
     stage = fleet.engine("stage", EngineKind.STAGE);
-    for (int box = 0; box < BOXES; box++) {
-      fleet.startBox();
-      fleet.awaitReady(box);
-    }
+    fleet.startBoxes(BOXES);
   }
 
   @AfterEach
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetCrashingRequestTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetCrashingRequestTests.java
@@ -47,10 +47,7 @@
   }
 
   private void startBoxes() throws Exception {
-    for (int box = 0; box < BOXES; box++) {
-      fleet.startBox();
-      fleet.awaitReady(box);
-    }
+    fleet.startBoxes(BOXES);
     fleet.awaitMet();
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetRestartTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetRestartTests.java
@@ -26,10 +26,7 @@
     plain = fleet.engine("plain", EngineKind.PLAIN);
     fleet.engine("model", EngineKind.STREAM);
     stage = fleet.engine("stage", EngineKind.STAGE);
-    for (int box = 0; box < BOXES; box++) {
-      fleet.startBox();
-      fleet.awaitReady(box);
-    }
+    fleet.startBoxes(BOXES);
   }
 
   @AfterEach
