A test that fails: upstreams that name a limit get as many requests as before

What upstreams saw: whoever names a limit of one request a second gets 24 (another upstream of the service is there), 60 (none is) and 181 (stage work, with its releases) of three boxes within 4 s; 11 are allowed. The stand-in engine learns to name a limit in all its answers and notes when requests came.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -32,6 +32,7 @@
   private final List<String> askedOfOthers = new CopyOnWriteArrayList<>();
   private final List<Integer> ranBefore = new CopyOnWriteArrayList<>(List.of(0));
   private final EngineTexts texts;
+  private final EngineLimit limit = new EngineLimit();
   private volatile long born = System.currentTimeMillis();
   private volatile EngineFault fault = EngineFault.NONE;
   private volatile Optional<String> fatalBody = Optional.empty();
@@ -97,6 +98,11 @@
     return ran;
   }
 
+  /** Returns what it says that it takes, and when requests came. */
+  public EngineLimit limit() {
+    return limit;
+  }
+
   /** Returns the number of the start that runs now, from 0. */
   public int start() {
     return ranBefore.size() - 1;
@@ -183,6 +189,7 @@
   /** Answers a request; returns whether the connection goes on. */
   private boolean answer(SeenRequest request, Socket socket) throws IOException {
     OutputStream out = socket.getOutputStream();
+    limit.requestCame();
     if (fault == EngineFault.FULL) {
       return send(out, AnswerText.whole(request, 503, "X-Not-Run: 1\r\n", ""));
     }
@@ -238,7 +245,7 @@
     return false;
   }
 
-  private static boolean slowly(SeenRequest request, OutputStream out) throws IOException {
+  private boolean slowly(SeenRequest request, OutputStream out) throws IOException {
     send(out, AnswerText.head(request, EngineTexts.CHUNKED));
     for (int event = 1; event <= EVENTS; event++) {
       LockSupport.parkNanos(SLOW_NANOS);
@@ -251,8 +258,8 @@
     return socket.getInputStream().read() >= 0;
   }
 
-  private static boolean send(OutputStream out, String text) throws IOException {
-    out.write(AnswerText.bytes(text));
+  private boolean send(OutputStream out, String text) throws IOException {
+    out.write(AnswerText.bytes(limit.addTo(text)));
     out.flush();
     return true;
   }
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetLimitedUpstreamTests.java
@@ -0,0 +1,108 @@
+package org.gradeledge.standin.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Seen: two upstreams that had said how few requests a second they take from all boxes together got
+ * twice as many, from seven of eight boxes, none of which sent more than three.
+ */
+@Timeout(120)
+@Tag("known-red")
+class FleetLimitedUpstreamTests {
+
+  private static final String[] WITH_KEY = {"Authorization", "Bearer " + Fleet.KEY};
+  private static final String[] STAGED = {
+    "Authorization", "Bearer " + Fleet.KEY, "X-Pieces", "2,3", "X-Piece-Key", "pk"
+  };
+  private static final int BOXES = 3;
+  private static final int REQUESTS = 60;
+
+  /** One and a half times what a limit of one a second allows in 4 s, and 5. */
+  private static final long MOST_IN_WINDOW = 11;
+
+  private final Fleet fleet = new Fleet();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  @Test
+  void allBoxesTogetherKeepToTheLimitAndTheOthersOfTheServiceTakeTheRest() throws Exception {
+    FleetEngine limited = fleet.engine("plain", EngineKind.PLAIN);
+    fleet.engine("plain", EngineKind.PLAIN);
+    limited.limit().name("1");
+    startBoxes();
+
+    for (int number = 0; number < REQUESTS; number++) {
+      assertThat(get(number).statusCode()).isEqualTo(200);
+    }
+
+    assertThat(limited.limit().mostInWindowAfter(0)).isLessThanOrEqualTo(MOST_IN_WINDOW);
+  }
+
+  @Test
+  void whereAllOfAServiceNameALimitTheRestIsRefusedAtOnceAndToldWhenToComeBack() throws Exception {
+    FleetEngine limited = fleet.engine("plain", EngineKind.PLAIN);
+    limited.limit().name("1.0");
+    startBoxes();
+
+    HttpResponse<String> last = get(0);
+    for (int number = 1; number < REQUESTS; number++) {
+      last = get(number);
+    }
+
+    assertThat(last.statusCode()).isEqualTo(503);
+    assertThat(last.headers().firstValue("Retry-After")).isPresent();
+    assertThat(limited.limit().mostInWindowAfter(0)).isLessThanOrEqualTo(MOST_IN_WINDOW);
+  }
+
+  @Test
+  void callsForStageWorkAndReleasesOfResultsCountAsRequestsToo() throws Exception {
+    fleet.engine("model", EngineKind.STREAM);
+    FleetEngine limited = fleet.engine("stage", EngineKind.STAGE);
+    limited.limit().name("1");
+    startBoxes();
+
+    int served = 0;
+    for (int number = 0; number < REQUESTS; number++) {
+      served += fleet.post(number % BOXES, "/staged/x", STAGED).statusCode() == 200 ? 1 : 0;
+    }
+
+    assertThat(served).isPositive();
+    assertThat(limited.limit().mostInWindowAfter(0)).isLessThanOrEqualTo(MOST_IN_WINDOW);
+  }
+
+  @Test
+  void oneThatNamesNoLimitAnyMoreTakesAllAgain() throws Exception {
+    FleetEngine limited = fleet.engine("plain", EngineKind.PLAIN);
+    limited.limit().name("0.5");
+    startBoxes();
+    for (int number = 0; number < REQUESTS; number++) {
+      get(number);
+    }
+    assertThat(limited.limit().mostInWindowAfter(0)).isLessThanOrEqualTo(MOST_IN_WINDOW);
+
+    limited.limit().withdraw();
+
+    for (int box = 0; box < BOXES; box++) {
+      int asked = box;
+      Fleet.await(() -> get(asked).statusCode() == 200 && get(asked).statusCode() == 200);
+    }
+  }
+
+  private void startBoxes() throws Exception {
+    fleet.startBoxes(BOXES);
+    fleet.awaitMet();
+  }
+
+  private HttpResponse<String> get(int number) throws Exception {
+    return fleet.get(number % BOXES, "/again/x", WITH_KEY);
+  }
+}
