Upstreams that name a limit: all boxes together keep to it, whatever is sent and whoever sends

Cause: nobody read what they say, and nothing that sends asked; only first tries asked, about cold upstreams alone. Ruled out: second tries (none in the windows of the record); load that a stopped box left (it had sent nothing there).

Change: the head of each answer to any call is read (`limit`, `connection.AnswerHead`); a limit belongs to one start of an upstream, is told to all boxes at once and in each heartbeat with its age, and is lifted by an answer without one to a request that was sent later. Few boxes have a part of it, by rendezvous hashing, in a token bucket each: as many and as deep as what the rule allows over the limit bears, so that no burst of all of them breaks it. First tries, retries, resumed streams, stage calls and releases take from it. Where all of a service name limits, what can be answered in time waits, the more urgent first; the rest is refused at once, before stage work. The line `upstream-limit` is the sight that was missing: it tells whether a box has heard.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -15,6 +15,7 @@
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.SendingRule;
 import org.gradeledge.retry.RetryBudget;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.time.MonotonicClock;
@@ -37,7 +38,13 @@
     this.loop = builder.loop;
     this.release =
         new ResultRelease(
-            loop, builder.caller, builder.upstreams, builder.protocol, this::makerOf, this::freed);
+            loop,
+            builder.caller,
+            builder.upstreams,
+            builder.protocol,
+            builder.sending,
+            this::makerOf,
+            this::freed);
     this.services =
         new BatchServices(
             builder.box,
@@ -47,6 +54,7 @@
             builder.budget,
             builder.caller,
             new UpstreamEnds(builder.caller, builder.upstreams::hasLeft),
+            builder.sending,
             builder.protocol,
             builder.events,
             builder.toCome,
@@ -125,7 +133,7 @@
     return new Builder();
   }
 
-  /** Builds a coordinator; every part must be given but for the pieces to come. */
+  /** Builds a coordinator; all but the pieces to come and a rule on sending must be given. */
   public static final class Builder {
 
     private String box;
@@ -138,6 +146,7 @@
     private StageProtocol protocol;
     private EventLog events;
     private PiecesToCome toCome = new PiecesToCome();
+    private SendingRule sending = SendingRule.NONE;
     private Function<String, Optional<BatchLimits>> limits;
 
     private Builder() {}
@@ -179,6 +188,12 @@
       return this;
     }
 
+    /** Sets which upstreams take one more request now; all do if it is not given. */
+    public Builder sending(SendingRule rule) {
+      this.sending = rule;
+      return this;
+    }
+
     /** Returns the coordinator. */
     public BatchCoordinator build() {
       return new BatchCoordinator(this);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -133,6 +133,7 @@
     double expected = target.expectedMillis(limits, chosen.size());
     target.started(call.resultBytes(), expected, now);
     services.board().started(target.upstream(), call.resultBytes());
+    services.sending().sent(target.upstream());
     List<CallItem> items =
         chosen.stream()
             .map(p -> new CallItem(p.group().group(), p.index(), p.group().leftMillis(now)))
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchServices.java
@@ -12,6 +12,7 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.SendingRule;
 import org.gradeledge.retry.RetryBudget;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.time.MonotonicClock;
@@ -32,6 +33,7 @@
     RetryBudget budget,
     UpstreamCaller caller,
     UpstreamEnds ends,
+    SendingRule sending,
     StageProtocol protocol,
     EventLog events,
     PiecesToCome toCome,
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -23,6 +23,7 @@
 
   private static final double HURRY_CALLS = 2;
   private static final double MILLIS_OF_SECOND = 1e3;
+  private static final double CALLS_OF_REQUESTS = 0.5;
 
   private final String service;
   private final BatchServices services;
@@ -44,13 +45,13 @@
         usable().stream().filter(each -> roomBytes(each, limits) > 0).toList();
     double soonest =
         known.stream()
-            .mapToDouble(each -> each.doneAfterMillis(limits, items, now))
+            .mapToDouble(each -> doneAfterMillis(each, limits, items, now))
             .min()
             .orElse(0);
     Comparator<BatchUpstream> fastest =
         Comparator.comparingDouble(each -> each.expectedMillis(limits, items));
     return known.stream()
-        .filter(each -> free(each, limits))
+        .filter(each -> free(each, limits) && services.sending().admits(each.upstream()))
         .filter(each -> each.expectedMillis(limits, items) <= soonest * SLOW_EXCUSE)
         .sorted(fastest.thenComparingLong(this::occupiedBytes))
         .toList();
@@ -65,19 +66,41 @@
     double fullCalls = Math.ceil((double) pieces / limits.itemsPerCall());
     double work = fullCalls * limits.callMillis() + pieces * limits.itemMillis();
     double soonestFree =
-        known.stream().mapToDouble(each -> each.doneAfterMillis(limits, 0, now)).min().orElse(0)
+        known.stream().mapToDouble(each -> doneAfterMillis(each, limits, 0, now)).min().orElse(0)
             - limits.expectedMillis(0);
     double slowness =
         known.stream().mapToDouble(each -> each.expectedMillis(limits, 1)).average().orElse(0)
             / limits.expectedMillis(1);
-    return Math.max(0, soonestFree) + work * slowness / known.size();
+    return Math.max(0, soonestFree) + work * slowness / wholeUpstreams(known, limits);
   }
 
   /** Returns the time of all upstreams together that a piece takes in full calls. */
   double secondsOfPiece(BatchLimits limits) {
     int most = limits.itemsPerCall();
     double each = limits.expectedMillis(most) / most / MILLIS_OF_SECOND;
-    return each / Math.max(1, usable().size());
+    return each / Math.max(1, wholeUpstreams(usable(), limits));
+  }
+
+  /** Returns about when a call would end, from now, also where its upstream names a limit. */
+  private double doneAfterMillis(BatchUpstream each, BatchLimits limits, int items, long now) {
+    double turn = services.sending().millisUntilAdmitted(each.upstream(), 0);
+    return Math.max(
+        each.doneAfterMillis(limits, items, now), turn + each.expectedMillis(limits, items));
+  }
+
+  /**
+   * Returns how many upstreams without limits make as much as these: one that takes fewer calls
+   * than it could make counts for a part. Releases of results take half of what it takes.
+   */
+  private double wholeUpstreams(List<BatchUpstream> known, BatchLimits limits) {
+    return known.stream()
+        .mapToDouble(
+            each -> {
+              double calls = services.sending().perSecond(each.upstream()) * CALLS_OF_REQUESTS;
+              double full = each.expectedMillis(limits, limits.itemsPerCall());
+              return Math.min(1, calls * full / MILLIS_OF_SECOND);
+            })
+        .sum();
   }
 
   /** Returns the room for results that an upstream has left. */
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
@@ -17,6 +17,7 @@
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.limit.SendingRule;
 
 /**
  * Gives up results at the upstreams that hold them, many in one call. A call that fails is not
@@ -26,32 +27,39 @@
 
   private static final long GATHER_MILLIS = 8;
 
+  /** An upstream that names a limit takes few requests, and a call for work comes first. */
+  private static final long HELD_OFF_MILLIS = 100;
+
   private final EventLoop loop;
   private final UpstreamCaller caller;
   private final UpstreamRegistry upstreams;
   private final StageProtocol protocol;
+  private final SendingRule sending;
   private final Function<String, Optional<String>> makerOf;
   private final Consumer<Collection<String>> onReleased;
   private final Map<String, List<String>> byAddress = new HashMap<>();
+  private boolean scheduled;
 
   ResultRelease(
       EventLoop loop,
       UpstreamCaller caller,
       UpstreamRegistry upstreams,
       StageProtocol protocol,
+      SendingRule sending,
       Function<String, Optional<String>> makerOf,
       Consumer<Collection<String>> onReleased) {
     this.loop = loop;
     this.caller = caller;
     this.upstreams = upstreams;
     this.protocol = protocol;
+    this.sending = sending;
     this.makerOf = makerOf;
     this.onReleased = onReleased;
   }
 
   void release(List<String> handles) {
-    if (byAddress.isEmpty() && !handles.isEmpty()) {
-      loop.schedule(this::flush, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    if (!handles.isEmpty()) {
+      flushAfter(GATHER_MILLIS);
     }
     handles.forEach(
         handle ->
@@ -60,14 +68,32 @@
                 .add(handle));
   }
 
+  private void flushAfter(long millis) {
+    if (!scheduled) {
+      scheduled = true;
+      loop.schedule(this::flush, millis, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void flush() {
+    scheduled = false;
     Map<String, List<String>> flushed = Map.copyOf(byAddress);
     byAddress.clear();
     upstreams.all().stream()
         .filter(upstream -> flushed.containsKey(upstream.address()))
         .filter(upstream -> !upstreams.isEvacuated(upstream))
         .toList()
-        .forEach(upstream -> call(upstream, heldBy(upstream, flushed.get(upstream.address()))));
+        .forEach(upstream -> release(upstream, flushed.get(upstream.address())));
+  }
+
+  /** A release is a request like others; one that has to wait gathers what comes meanwhile. */
+  private void release(UpstreamRecord upstream, List<String> handles) {
+    if (sending.admits(upstream)) {
+      call(upstream, heldBy(upstream, handles));
+    } else {
+      byAddress.computeIfAbsent(upstream.address(), address -> new ArrayList<>()).addAll(handles);
+      flushAfter(HELD_OFF_MILLIS);
+    }
   }
 
   /** A result is lost with the start of the upstream that made it: the next one holds nothing. */
@@ -81,6 +107,7 @@
     if (handles.isEmpty()) {
       return;
     }
+    sending.sent(upstream);
     caller.call(upstream, protocol.encodeFree(upstream, handles), new Release(handles));
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -43,7 +44,7 @@
   private final ToIntFunction<UpstreamRecord> connectionLimit;
   private final Map<String, UpstreamConnections> byUpstream = new HashMap<>();
   private final Map<String, Set<UpstreamConnection>> openByStart = new HashMap<>();
-  private Consumer<UpstreamRecord> closing = upstream -> {};
+  private BiConsumer<UpstreamRecord, AnswerHead> answers = (upstream, head) -> {};
 
   /**
    * Creates a caller without connections.
@@ -130,15 +131,15 @@
     return refused ? UpstreamProof.REFUSED : UpstreamProof.SILENT;
   }
 
-  /** Tells a listener of each answer after which an upstream closes its connection. */
-  public void onClosing(Consumer<UpstreamRecord> listener) {
-    this.closing = listener;
+  /** Tells a listener of the head of each answer to any call. */
+  public void onAnswer(BiConsumer<UpstreamRecord, AnswerHead> listener) {
+    this.answers = listener;
   }
 
   private void connect(
       UpstreamRecord target, UpstreamConnections connections, CallInProgress call) {
     UpstreamConnection connection =
-        new UpstreamConnection(connections, () -> closing.accept(target), clock);
+        new UpstreamConnection(connections, head -> answers.accept(target, head), clock);
     connections.opened();
     connections.dialling(call);
     ChannelFuture connecting =
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.gradeledge.time.MonotonicClock;
@@ -34,7 +35,7 @@
   private static final int INFORMATIONAL_END = 200;
 
   private final UpstreamConnections owner;
-  private final Runnable onClosing;
+  private final Consumer<AnswerHead> onHead;
   private @Nullable ChannelHandlerContext context;
   private @Nullable CallInProgress call;
   private @Nullable ChannelFuture written;
@@ -45,15 +46,16 @@
   private long keptMillis = DEFAULT_KEPT_MILLIS;
   private final MonotonicClock clock;
   private long restingSince;
+  private long sentNanos;
 
   /**
    * Creates a connection that is not open yet.
    *
-   * @param onClosing run where an answer says that the upstream closes the connection
+   * @param onHead hears of the head of each answer, also where its call was given up
    */
-  UpstreamConnection(UpstreamConnections owner, Runnable onClosing, MonotonicClock clock) {
+  UpstreamConnection(UpstreamConnections owner, Consumer<AnswerHead> onHead, MonotonicClock clock) {
     this.owner = owner;
-    this.onClosing = onClosing;
+    this.onHead = onHead;
     this.clock = clock;
     this.restingSince = clock.nanos();
   }
@@ -78,6 +80,7 @@
     headSeen = false;
     reusable &= next.request().reuse() != ConnectionReuse.NONE;
     next.onCancel(this::close);
+    sentNanos = clock.nanos();
     written = channel.writeAndFlush(encode(next.request()));
     next.sent();
   }
@@ -137,10 +140,8 @@
     }
     reusable &= HttpUtil.isKeepAlive(response) && isFramed(response);
     noteKeptTime(response.headers().get(KEEP_ALIVE));
+    onHead.accept(new AnswerHead(current.request(), sentNanos, response));
     current.head(response.status().code(), response.headers());
-    if (!HttpUtil.isKeepAlive(response)) {
-      onClosing.run();
-    }
   }
 
   private void body(CallInProgress current, HttpContent content) {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
@@ -5,6 +5,7 @@
 import org.gradeledge.batch.PiecesToCome;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.limit.UpstreamLimits;
 import org.gradeledge.quarantine.Quarantine;
 import org.gradeledge.selection.LoadBoard;
 
@@ -17,6 +18,7 @@
  * @param board load and health of upstreams
  * @param toCome pieces that requests will want made
  * @param quarantine requests that end upstreams
+ * @param limits limits that upstreams name
  * @since 0.3
  */
 public record BoxBeliefs(
@@ -24,7 +26,8 @@
     UpstreamRegistry upstreams,
     LoadBoard board,
     PiecesToCome toCome,
-    Quarantine quarantine) {
+    Quarantine quarantine,
+    UpstreamLimits limits) {
 
   /** Returns what is told to all others. */
   Heartbeat heartbeat(
@@ -47,7 +50,8 @@
         upstreams.evacuations(),
         quarantine.digest(),
         upstreams.trust().code(),
-        number);
+        number,
+        limits.reports());
   }
 
   /** Forgets what a box told of itself, as it is lost. */
@@ -57,12 +61,13 @@
   }
 
   /**
-   * Takes in what a box tells of itself; returns whether that orders the evacuation of other zones
-   * than before.
+   * Takes in what a box tells; returns whether that orders the evacuation of other zones than
+   * before, or tells of a limit that was not known.
    */
-  boolean heard(String box, Heartbeat beat) {
+  boolean heard(String box, Heartbeat beat, long ageMillis) {
     board.setPeerShares(box, beat.shares());
     toCome.told(box, beat.piecesToCome());
-    return upstreams.evacuate(beat.evacuations());
+    boolean limited = limits.told(box, beat.limits(), ageMillis);
+    return upstreams.evacuate(beat.evacuations()) || limited;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.discovery.ListTrust;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.BoxRank;
 import org.gradeledge.peer.PeerIdentity;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.time.MonotonicClock;
@@ -189,6 +191,11 @@
     return peers.alive().size();
   }
 
+  /** Returns where this box stands for a duty among those that may be at work, if it can know. */
+  public Optional<BoxRank> rank(String duty) {
+    return peers.rank(duty);
+  }
+
   private void beat() {
     peers.expire(sender.silenceMillis());
     listDoubts.beat();
@@ -250,8 +257,8 @@
     documents.learnConfigurationSoon(box, beat.configuration());
     boolean otherDoubt = listDoubts.heard(box, ListTrust.ofCode(beat.listTrust()));
     upstreamNews.heardOf(box, beat.upstreams());
-    boolean ordered = beliefs.heard(box, beat);
-    if (isNews(beat) || ordered || otherDoubt) {
+    boolean news = beliefs.heard(box, beat, ageMillis);
+    if (isNews(beat) || news || otherDoubt) {
       sender.tellDigestsSoon();
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.gradeledge.discovery.ZoneEvacuations;
+import org.gradeledge.limit.LimitReport;
 import org.gradeledge.selection.LoadShare;
 
 /**
@@ -25,6 +26,7 @@
  * @param listTrust code of the {@link org.gradeledge.discovery.ListTrust} that it has in its list
  *     of upstreams
  * @param number rises with each heartbeat of a box, also over its lives; 0 from older boxes
+ * @param limits limits that upstreams named to it or to others that told it
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record Heartbeat(
@@ -41,7 +43,8 @@
     ZoneEvacuations evacuations,
     long suspects,
     int listTrust,
-    long number) {
+    long number,
+    List<LimitReport> limits) {
 
   /** Returns whether the box knows so few others that it tells all of them what it hears. */
   boolean isOfFew() {
@@ -64,7 +67,8 @@
         evacuations,
         suspects,
         listTrust,
-        number);
+        number,
+        limits);
   }
 
   /** Returns the same, to be passed on. */
@@ -83,6 +87,7 @@
         evacuations,
         suspects,
         listTrust,
-        number);
+        number,
+        limits);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -14,9 +14,9 @@
 /** Heartbeats, as arrays. */
 final class HeartbeatFormat implements MessageFormat<Heartbeat> {
 
-  private static final int FIELDS = 14;
+  private static final int FIELDS = 15;
 
-  /** Fields that all older boxes send; some know of no evacuations, suspects, or doubts. */
+  /** Fields that all older boxes send; some know of no evacuations, suspects, doubts or limits. */
   private static final int FIRST_FIELDS = 10;
 
   private static final long NO_SUSPECTS = 0;
@@ -47,6 +47,7 @@
     packer.packLong(beat.suspects());
     packer.packInt(beat.listTrust());
     packer.packLong(beat.number());
+    LimitReportFormat.writeAll(packer, beat.limits());
   }
 
   private static void write(MessagePacker packer, ZoneEvacuations evacuations) throws IOException {
@@ -85,8 +86,9 @@
             more > 0 ? readEvacuations(reader) : ZoneEvacuations.UNKNOWN,
             more > 1 ? reader.number() : NO_SUSPECTS,
             more > 2 ? reader.integer() : ListTrust.UNKNOWN.code(),
-            more > 3 ? reader.number() : NO_NUMBER);
-    reader.skip(Math.max(0, more - 4));
+            more > 3 ? reader.number() : NO_NUMBER,
+            more > 4 ? reader.list(LimitReportFormat::read) : List.of());
+    reader.skip(Math.max(0, more - 5));
     return beat;
   }
 
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/LimitReportFormat.java
@@ -0,0 +1,32 @@
+package org.gradeledge.mesh;
+
+import java.io.IOException;
+import java.util.List;
+import org.gradeledge.limit.LimitReport;
+import org.gradeledge.peer.MessageReader;
+import org.msgpack.core.MessagePacker;
+
+/** Reports on limits of upstreams, as arrays. */
+abstract class LimitReportFormat {
+
+  private static final int FIELDS = 3;
+
+  private LimitReportFormat() {}
+
+  static void writeAll(MessagePacker packer, List<LimitReport> reports) throws IOException {
+    packer.packArrayHeader(reports.size());
+    for (LimitReport report : reports) {
+      packer.packArrayHeader(FIELDS);
+      packer.packString(report.start());
+      packer.packLong(report.perThousandSeconds());
+      packer.packLong(report.ageMillis());
+    }
+  }
+
+  static LimitReport read(MessageReader reader) throws IOException {
+    int more = reader.beginRecord(FIELDS);
+    LimitReport report = new LimitReport(reader.text(), reader.number(), reader.number());
+    reader.skip(more);
+    return report;
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerBoard.java
@@ -1,5 +1,6 @@
 package org.gradeledge.mesh;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -11,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.BoxRank;
 import org.gradeledge.selection.RendezvousHash;
 import org.gradeledge.time.MonotonicClock;
 
@@ -22,6 +24,11 @@
   private static final long NOBODY_NEW_MILLIS = 300;
   private static final long LAST_LOOK_MILLIS = 1_200;
 
+  /**
+   * Twice the time over which what was sent to an upstream counts, and long after a box is lost.
+   */
+  private static final Duration MAY_BE_AT_WORK = Duration.ofSeconds(10);
+
   private record Seen(long nanos, String zone, boolean leaving, int strength, boolean alive) {
 
     /** Returns the same of a box that is not heard any more. */
@@ -117,6 +124,27 @@
     return up >= LAST_LOOK_MILLIS || (up >= FIRST_LOOK_MILLIS && nobodyNew >= NOBODY_NEW_MILLIS);
   }
 
+  /**
+   * Returns where this box stands for a duty, by rendezvous hashing, among all that may be at work
+   * still: those that are lost count a while, as what they have sent does, and one that others do
+   * not hear may go on. Empty while this box cannot know who is there.
+   */
+  Optional<BoxRank> rank(String duty) {
+    if (!settled()) {
+      return Optional.empty();
+    }
+    long own = RendezvousHash.weight(duty, self);
+    long now = clock.nanos();
+    List<String> others =
+        seen.entrySet().stream()
+            .filter(entry -> now - entry.getValue().nanos() < MAY_BE_AT_WORK.toNanos())
+            .map(Map.Entry::getKey)
+            .filter(box -> !box.equals(self))
+            .toList();
+    long before = others.stream().filter(box -> RendezvousHash.weight(duty, box) > own).count();
+    return Optional.of(new BoxRank((int) before, others.size() + 1));
+  }
+
   boolean isAlive(String box) {
     Seen last = seen.get(box);
     return last != null && last.alive();
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -16,6 +16,8 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.LimitedSending;
+import org.gradeledge.limit.SendingRule;
 import org.gradeledge.mesh.BoxBeliefs;
 import org.gradeledge.mesh.BoxMesh;
 import org.gradeledge.metrics.BoxMetrics;
@@ -28,10 +30,10 @@
 import org.gradeledge.relay.RelayServer;
 import org.gradeledge.relay.RelayServices;
 import org.gradeledge.retry.RetryBudget;
-import org.gradeledge.selection.ColdUpstreams;
 import org.gradeledge.selection.LeastLoadedChooser;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.PrefixAffinityChooser;
+import org.gradeledge.selection.UpstreamChooser;
 import org.gradeledge.time.ClockJump;
 import org.gradeledge.time.MonotonicClock;
 import org.gradeledge.time.SuspensionAwareClock;
@@ -81,15 +83,20 @@
     this.upstreams = new UpstreamRegistry(events);
     LoadBoard board = new LoadBoard(clock, events);
     Quarantine quarantine = new Quarantine(clock);
-    this.mesh = newMesh(new BoxBeliefs(deployments, upstreams, board, toCome, quarantine), clock);
+    UpstreamSending sending = new UpstreamSending(clock, events, upstreams, this::service);
+    this.mesh =
+        newMesh(
+            new BoxBeliefs(deployments, upstreams, board, toCome, quarantine, sending.limits()),
+            clock);
     VerdictKeeper verdicts = newVerdictKeeper(quarantine, adapters);
     this.followers = newFollowers(adapters, verdicts, clock);
     RetryBudget budget = newRetryBudget(clock);
-    ColdUpstreams cold = newColdUpstreams(clock);
     PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit, clock);
     upstreams.onEnd(caller::end);
     upstreams.onReplaced(caller::breakOff);
-    caller.onClosing(upstreams::closesConnections);
+    sending.listen(caller, adapters.limits(), mesh);
+    LimitedSending limited = sending.limited(mesh);
+    metrics.watchLimits(sending.limits()::count, limited::heldOff);
     upstreams.onEnd(board::forget);
     BatchCoordinator coordinator =
         BatchCoordinator.builder()
@@ -98,6 +105,7 @@
             .calls(caller, adapters.stages())
             .beliefs(board, budget, events)
             .toCome(toCome)
+            .sending(limited)
             .build();
     StageWorkClient stageWork = mesh.stageWork(coordinator);
     RelayServices services =
@@ -108,9 +116,8 @@
             deployments,
             upstreams,
             board,
-            new PrefixAffinityChooser(
-                board, new LeastLoadedChooser(board, new Random()), this::memoryTokens),
-            cold,
+            newChooser(board),
+            SendingRule.allOf(sending.cold(this::boxes), limited),
             budget,
             caller,
             new UpstreamEnds(caller, upstreams::hasLeft),
@@ -146,6 +153,11 @@
     }
   }
 
+  private UpstreamChooser newChooser(LoadBoard board) {
+    return new PrefixAffinityChooser(
+        board, new LeastLoadedChooser(board, new Random()), this::memoryTokens);
+  }
+
   private VerdictKeeper newVerdictKeeper(Quarantine quarantine, RelayAdapters adapters) {
     return new VerdictKeeper(
         quarantine,
@@ -180,19 +192,6 @@
         metrics::unreadableRow);
   }
 
-  private ColdUpstreams newColdUpstreams(MonotonicClock clock) {
-    ColdUpstreams cold =
-        new ColdUpstreams(
-            clock,
-            new Random(),
-            this::boxes,
-            service -> service(service).flatMap(ServiceDefinition::coldStart));
-    upstreams.onCold(cold::told);
-    upstreams.onRestored(zones -> cold.restored(upstreams.inZones(zones)));
-    upstreams.onEnd(cold::forget);
-    return cold;
-  }
-
   private BoxMesh newMesh(BoxBeliefs beliefs, MonotonicClock clock) {
     PeerTransport transport =
         new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops));
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
@@ -0,0 +1,85 @@
+package org.gradeledge.node;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+import org.gradeledge.connection.PooledUpstreamCaller;
+import org.gradeledge.deployment.ServiceDefinition;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.LimitReader;
+import org.gradeledge.limit.LimitedSending;
+import org.gradeledge.limit.SendingRule;
+import org.gradeledge.limit.UpstreamLimits;
+import org.gradeledge.mesh.BoxMesh;
+import org.gradeledge.selection.ColdUpstreams;
+import org.gradeledge.time.MonotonicClock;
+
+/** Puts together what tells which upstreams take one more request of this box now. */
+final class UpstreamSending {
+
+  private final MonotonicClock clock;
+  private final UpstreamRegistry upstreams;
+  private final Function<String, Optional<ServiceDefinition>> services;
+  private final UpstreamLimits limits;
+
+  UpstreamSending(
+      MonotonicClock clock,
+      EventLog events,
+      UpstreamRegistry upstreams,
+      Function<String, Optional<ServiceDefinition>> services) {
+    this.clock = clock;
+    this.upstreams = upstreams;
+    this.services = services;
+    this.limits = new UpstreamLimits(clock, events, upstreams::all);
+  }
+
+  /** Returns the limits that are known. */
+  UpstreamLimits limits() {
+    return limits;
+  }
+
+  /** Reads the limits in all answers, and has the mesh tell what is new at once. */
+  void listen(PooledUpstreamCaller caller, LimitReader reader, BoxMesh mesh) {
+    caller.onAnswer(
+        (upstream, head) -> {
+          limits.answered(
+              upstream,
+              head.sentNanos(),
+              reader.read(head.request().uri(), head.status(), head.headers()));
+          if (head.closes()) {
+            upstreams.closesConnections(upstream);
+          }
+        });
+    limits.onNews(mesh::tellNow);
+  }
+
+  /** Returns the rule of limits that upstreams name, for all requests. */
+  LimitedSending limited(BoxMesh mesh) {
+    return new LimitedSending(
+        clock,
+        limits,
+        mesh::rank,
+        name -> services.apply(name).flatMap(ServiceDefinition::batch).isPresent());
+  }
+
+  /**
+   * Returns the rule of upstreams that are cold. Calls for stage work need none: one at a time,
+   * they are fewer than any cold upstream bears.
+   *
+   * @param boxes how many boxes are heard, this one included
+   */
+  SendingRule cold(IntSupplier boxes) {
+    ColdUpstreams cold =
+        new ColdUpstreams(
+            clock,
+            new Random(),
+            boxes,
+            service -> services.apply(service).flatMap(ServiceDefinition::coldStart));
+    upstreams.onCold(cold::told);
+    upstreams.onRestored(zones -> cold.restored(upstreams.inZones(zones)));
+    upstreams.onEnd(cold::forget);
+    return cold;
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeParts.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeParts.java
@@ -16,6 +16,7 @@
  * @param candidates the upstreams it may go to
  * @param plan its stage work
  * @param inputs results of that
+ * @param queue requests that have not been sent yet
  */
 record ExchangeParts(
     RelayServices services,
@@ -24,13 +25,15 @@
     ExchangeOutcome outcome,
     UpstreamCandidates candidates,
     StagePlan plan,
-    RequestInputs inputs) {
+    RequestInputs inputs,
+    DispatchQueue queue) {
 
   static ExchangeParts of(
       RelayServices services,
       AdmittedRequest admitted,
       FirstEventTimes firstEvents,
       InputRelease inputRelease,
+      DispatchQueue queue,
       CallerResponse response) {
     String service = admitted.service();
     RequestClock clock =
@@ -55,7 +58,8 @@
         new ExchangeOutcome(services, admitted, clock, firstEvents, timeline, response),
         candidates,
         plan,
-        new RequestInputs(service, plan, inputRelease));
+        new RequestInputs(service, plan, inputRelease),
+        queue);
   }
 
   /** Counts the request for the retry budgets of all services that it needs. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
@@ -25,6 +25,8 @@
   NO_UPSTREAM(503, true),
   /** All upstreams that were asked said that they did not run it. */
   UPSTREAMS_FULL(503, true),
+  /** What the upstreams say they take now is used up, and more comes too late. */
+  UPSTREAMS_LIMITED(503, true),
   /** The stages before cannot be done in the time left, or failed. */
   STAGES_FAILED(503, true),
   /** Each upstream that ran it ended, so that it is held back. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -17,7 +17,6 @@
  */
 final class RelayExchange implements AttemptListener {
 
-  private static final int FIRST_FAILURE = 500;
   private static final int INPUTS_GONE = 409;
   private static final long FULL_PAUSE_MILLIS = 200;
 
@@ -30,6 +29,7 @@
   private final SendHistory history;
   private final RequestStanding standing;
   private final ExchangeTimers timers;
+  private final DispatchTurn turn;
   private final Consumer<RelayExchange> onOver;
   private @Nullable Attempt attempt;
   private Optional<String> passedOn;
@@ -44,6 +44,7 @@
     this.standing = new RequestStanding(services, admitted);
     this.timers = new ExchangeTimers(services.loop(), parts.clock());
     this.parts = parts;
+    this.turn = new DispatchTurn(parts, this::dispatch);
     this.outcome = parts.outcome();
     this.plan = parts.plan();
     this.onOver = onOver;
@@ -67,6 +68,10 @@
     parts.countRequest();
     if (plan.isEmpty()) {
       dispatch();
+      return;
+    }
+    if (turn.comesTooLate()) {
+      giveUp(Refusal.UPSTREAMS_LIMITED, "before stage work");
     } else {
       plan.start(this::stagesDone, this::stagesFailed);
     }
@@ -86,11 +91,10 @@
 
   /** The caller has gone: whatever is under way for it is given up. */
   void callerGone() {
-    if (outcome.isOver()) {
-      return;
+    if (!outcome.isOver()) {
+      outcome.callerGone();
+      release();
     }
-    outcome.callerGone();
-    release();
   }
 
   private void stagesDone(List<String> results) {
@@ -112,10 +116,7 @@
       holdBack();
       return;
     }
-    parts
-        .candidates()
-        .next()
-        .ifPresentOrElse(this::send, () -> giveUp(parts.candidates().whyNone(), "all tried"));
+    turn.take(this::send, refusal -> giveUp(refusal, "all tried or held off"));
   }
 
   private void send(UpstreamRecord upstream) {
@@ -179,13 +180,13 @@
   public void failed(Attempt ended, CallFailure failure) {
     timers.stopWatch();
     outcome.failed(ended.upstream(), failure);
-    if (!failure.sent()) {
+    if (failure.sent()) {
+      boolean mayRun = history.mayRunAgain();
+      history.mayHaveRun();
+      standing.broken(ended.upstream(), () -> brokenOff(mayRun, failure));
+    } else {
       again(failure.name(), Refusal.UPSTREAMS_FULL, false);
-      return;
     }
-    boolean mayRun = history.mayRunAgain();
-    history.mayHaveRun();
-    standing.broken(ended.upstream(), () -> brokenOff(mayRun, failure));
   }
 
   private void brokenOff(boolean mayRunAgain, CallFailure failure) {
@@ -213,9 +214,7 @@
   public void answered(Attempt ended, int status, HttpHeaders headers, ByteBuf body) {
     timers.stopWatch();
     standing.answered();
-    boolean failure = status >= FIRST_FAILURE;
-    boolean mayRunAgain = history.mayRunAgain() && !history.exhausted();
-    if (failure && mayRunAgain && parts.mayRepeat()) {
+    if (history.mayReplace(status) && parts.mayRepeat()) {
       body.release();
       history.mayHaveRun();
       outcome.failed(ended.upstream(), CallFailure.BROKEN);
@@ -225,10 +224,10 @@
     if (streaming) {
       body.release();
       giveUp(Refusal.BROKEN, "status " + status + " in place of the rest of a stream");
-      return;
+    } else {
+      release();
+      outcome.answered(status, headers, body);
     }
-    release();
-    outcome.answered(status, headers, body);
   }
 
   @Override
@@ -273,6 +272,7 @@
 
   private void release() {
     onOver.accept(this);
+    turn.leave();
     timers.stopAll();
     Optional.ofNullable(attempt).ifPresent(Attempt::cancel);
     plan.cancel();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -30,6 +30,7 @@
   private final RelayServices services;
   private final FirstEventTimes firstEvents = new FirstEventTimes();
   private final InputRelease inputRelease;
+  private final DispatchQueue queue;
   private final Set<RelayExchange> underWay = new HashSet<>();
   private boolean stopping;
 
@@ -37,6 +38,7 @@
   public RelayHandler(RelayServices services) {
     this.services = services;
     this.inputRelease = new InputRelease(services.loop(), services.clock());
+    this.queue = new DispatchQueue(services.loop());
     services.quarantine().onVerdict(verdict -> holdBackWhatWaits());
   }
 
@@ -78,7 +80,7 @@
     AdmittedRequest admitted = new AdmittedRequest(request, deployment, route.get(), account);
     RelayExchange exchange =
         new RelayExchange(
-            ExchangeParts.of(services, admitted, firstEvents, inputRelease, response),
+            ExchangeParts.of(services, admitted, firstEvents, inputRelease, queue, response),
             underWay::remove);
     underWay.add(exchange);
     exchange.start();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -1,6 +1,8 @@
 package org.gradeledge.relay;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -8,6 +10,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Locale;
+import java.util.function.LongSupplier;
 import org.gradeledge.deployment.Repeatability;
 
 /**
@@ -67,6 +70,25 @@
           .withoutExemplars()
           .register(registry);
 
+  /**
+   * Shows limits that upstreams name.
+   *
+   * @param limited how many name one now
+   * @param heldOff how often one was passed over so far, as nothing more may be sent there
+   */
+  public void watchLimits(LongSupplier limited, LongSupplier heldOff) {
+    GaugeWithCallback.builder()
+        .name("gradeledge_upstreams_limited")
+        .help("Upstreams that name a limit of requests now")
+        .callback(gauge -> gauge.call(limited.getAsLong()))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("gradeledge_upstreams_held_off_total")
+        .help("Times that a limited upstream was passed over, as it takes no more now")
+        .callback(counter -> counter.call(heldOff.getAsLong()))
+        .register(registry);
+  }
+
   /** Counts that the machine was suspended. */
   public void suspended() {
     suspensions.inc();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServices.java
@@ -7,10 +7,10 @@
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
+import org.gradeledge.limit.SendingRule;
 import org.gradeledge.quarantine.Quarantine;
 import org.gradeledge.quarantine.Trials;
 import org.gradeledge.retry.RetryBudget;
-import org.gradeledge.selection.ColdUpstreams;
 import org.gradeledge.selection.LoadBoard;
 import org.gradeledge.selection.UpstreamChooser;
 import org.gradeledge.time.MonotonicClock;
@@ -25,7 +25,7 @@
  * @param upstreams upstreams that are known
  * @param board their load and health
  * @param chooser chooses among them
- * @param cold limits what is sent to those that are cold
+ * @param sending tells which of them takes one more request of this box now
  * @param budget what may be sent again
  * @param caller sends requests to them
  * @param ends tells whether one that broke a call off has ended
@@ -45,7 +45,7 @@
     UpstreamRegistry upstreams,
     LoadBoard board,
     UpstreamChooser chooser,
-    ColdUpstreams cold,
+    SendingRule sending,
     RetryBudget budget,
     UpstreamCaller caller,
     UpstreamEnds ends,
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/SendHistory.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/SendHistory.java
@@ -11,6 +11,8 @@
   /** Attempts that were turned away count too, so that a request does not visit every upstream. */
   private static final int MOST_SENDS = 4;
 
+  private static final int FIRST_FAILURE = 500;
+
   private final RouteDefinition route;
   private int sends;
   private int runs;
@@ -40,6 +42,11 @@
     return route.repeatability().repeatable() && runs + 1 < route.maxAttempts();
   }
 
+  /** Returns whether an answer with a status may give way to one of another upstream. */
+  boolean mayReplace(int status) {
+    return status >= FIRST_FAILURE && mayRunAgain() && !exhausted();
+  }
+
   /** Returns whether the request was sent as often as it may be. */
   boolean exhausted() {
     return sends >= MOST_SENDS;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -4,8 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.limit.SendingRule;
 import org.gradeledge.selection.Demand;
 
 /** The upstreams that one request may still be sent to; each is tried once. */
@@ -47,21 +50,43 @@
 
   /** Returns the upstream to be tried next, empty where all have been. */
   Optional<UpstreamRecord> next() {
-    List<UpstreamRecord> left =
-        services.upstreams().usable(service).stream()
-            .filter(each -> !tried.contains(each.start()))
-            .filter(services.cold()::admits)
-            .toList();
+    List<UpstreamRecord> left = notTried().filter(services.sending()::admits).toList();
     Optional<UpstreamRecord> chosen = services.chooser().choose(left, demand());
     chosen.ifPresent(upstream -> tried.add(upstream.start()));
-    chosen.ifPresent(services.cold()::sent);
+    chosen.ifPresent(services.sending()::sent);
     return chosen;
   }
 
+  private Stream<UpstreamRecord> notTried() {
+    return services.upstreams().usable(service).stream()
+        .filter(each -> !tried.contains(each.start()));
+  }
+
+  /**
+   * Returns after about how many milliseconds one takes the request that so many others come
+   * before, zero if one does now; infinite if this box may send to none of them, empty if there is
+   * none left.
+   */
+  OptionalDouble millisUntilNext(long ahead) {
+    SendingRule sending = services.sending();
+    List<UpstreamRecord> left = notTried().toList();
+    double rate = left.stream().mapToDouble(sending::perSecond).sum();
+    if (Double.isInfinite(rate)) {
+      return OptionalDouble.of(0);
+    }
+    return left.stream()
+        .mapToDouble(
+            each -> sending.millisUntilAdmitted(each, ahead * sending.perSecond(each) / rate))
+        .filter(millis -> !Double.isNaN(millis))
+        .min();
+  }
+
   /** Returns why there is no candidate. */
   Refusal whyNone() {
-    boolean none = services.upstreams().usable(service).isEmpty();
-    return none ? Refusal.NO_UPSTREAM : Refusal.UPSTREAMS_FULL;
+    if (services.upstreams().usable(service).isEmpty()) {
+      return Refusal.NO_UPSTREAM;
+    }
+    return notTried().findAny().isPresent() ? Refusal.UPSTREAMS_LIMITED : Refusal.UPSTREAMS_FULL;
   }
 
   /** Allows all upstreams again. */
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/ColdUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/ColdUpstreams.java
@@ -10,6 +10,8 @@
 import java.util.random.RandomGenerator;
 import org.gradeledge.deployment.ColdStart;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.limit.SendingRule;
+import org.gradeledge.limit.TokenBucket;
 import org.gradeledge.time.MonotonicClock;
 
 /**
@@ -24,7 +26,7 @@
  *
  * @since 0.3
  */
-public final class ColdUpstreams {
+public final class ColdUpstreams implements SendingRule {
 
   /**
    * Part of what a cold upstream bears that the boxes take together. Requests of many boxes that do
@@ -38,18 +40,17 @@
   private static final Duration HEARING = Duration.ofSeconds(3);
 
   private static final double WHOLE = 1;
+  private static final double NANOS_OF_MILLI = 1e6;
 
   /** What one box may still send to one cold upstream. */
   private static final class Allowance {
 
+    private final TokenBucket bucket;
     private long endNanos;
-    private long lookedNanos;
-    private double level;
 
     Allowance(long nowNanos, double level) {
+      this.bucket = new TokenBucket(level, nowNanos);
       this.endNanos = nowNanos;
-      this.lookedNanos = nowNanos;
-      this.level = level;
     }
   }
 
@@ -107,33 +108,54 @@
     }
   }
 
-  /** Returns whether this box may send one more request to an upstream now. */
+  @Override
   public boolean admits(UpstreamRecord upstream) {
+    return filled(upstream).map(bucket -> bucket.hasToken() && millisOfHearing() <= 0).orElse(true);
+  }
+
+  @Override
+  public void sent(UpstreamRecord upstream) {
+    Optional.ofNullable(cold.get(upstream.start())).ifPresent(allowance -> allowance.bucket.take());
+  }
+
+  @Override
+  public double millisUntilAdmitted(UpstreamRecord upstream, double sentBefore) {
+    return filled(upstream)
+        .map(bucket -> Math.max(bucket.millisUntilToken(sentBefore), millisOfHearing()))
+        .orElse(0.0);
+  }
+
+  @Override
+  public double perSecond(UpstreamRecord upstream) {
+    return filled(upstream)
+        .flatMap(bucket -> limits.apply(upstream.service()))
+        .map(this::share)
+        .orElse(Double.POSITIVE_INFINITY);
+  }
+
+  /** Returns how much longer this box has to listen who else is there. */
+  private double millisOfHearing() {
+    return (HEARING.toNanos() - (clock.nanos() - startNanos)) / NANOS_OF_MILLI;
+  }
+
+  /** Returns what this box may still send to an upstream, empty where that is not cold. */
+  private Optional<TokenBucket> filled(UpstreamRecord upstream) {
     Allowance allowance = cold.get(upstream.start());
     if (allowance == null) {
-      return true;
+      return Optional.empty();
     }
     long now = clock.nanos();
     Optional<ColdStart> limit = limits.apply(upstream.service());
     if (limit.isEmpty() || now - allowance.endNanos >= 0) {
       cold.remove(upstream.start());
-      return true;
+      return Optional.empty();
     }
-    fill(allowance, limit.get(), now);
-    return allowance.level >= WHOLE && now - startNanos >= HEARING.toNanos();
+    allowance.bucket.fill(share(limit.get()), WHOLE, now);
+    return Optional.of(allowance.bucket);
   }
 
-  private void fill(Allowance allowance, ColdStart limit, long now) {
+  private double share(ColdStart limit) {
     mostBoxes = Math.max(mostBoxes, boxes.getAsInt());
-    double share = limit.requestsPerSecond() * PART_USED / mostBoxes;
-    double seconds = (now - allowance.lookedNanos) / (double) Duration.ofSeconds(1).toNanos();
-    allowance.level = Math.min(WHOLE, allowance.level + share * seconds);
-    allowance.lookedNanos = now;
-  }
-
-  /** Notes that a request goes to an upstream. */
-  public void sent(UpstreamRecord upstream) {
-    Optional.ofNullable(cold.get(upstream.start()))
-        .ifPresent(allowance -> allowance.level -= WHOLE);
+    return limit.requestsPerSecond() * PART_USED / mostBoxes;
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/LimitsAmongBoxesTests.java
@@ -0,0 +1,111 @@
+package org.gradeledge.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.limit.LimitReport;
+import org.gradeledge.limit.LimitStatement;
+import org.gradeledge.limit.UpstreamLimits;
+import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A limit that one box has heard is known to all, few or many, and each has its own place. */
+@Timeout(120)
+class LimitsAmongBoxesTests {
+
+  private static final int FEW = 4;
+  private static final int MANY = 18;
+  private static final UpstreamRecord UPSTREAM =
+      new UpstreamRecord("u", "service", "10.0.0.1", 1, "zone", 8, false);
+
+  private final BoxesInOneProcess boxes = new BoxesInOneProcess();
+
+  @AfterEach
+  void stop() {
+    boxes.close();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {FEW, MANY})
+  void whatOneBoxHearsAllKnowAndItsEndToo(int count) throws Exception {
+    start(count);
+
+    answer(LimitStatement.named(1.3));
+    boxes.await(() -> all().allMatch(box -> box.limitOf(UPSTREAM.start()).isPresent()));
+
+    answer(LimitStatement.NO_LIMIT);
+    boxes.await(() -> all().allMatch(box -> box.limitOf(UPSTREAM.start()).isEmpty()));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {FEW, MANY})
+  void aBoxThatComesLaterHearsOfIt(int count) throws Exception {
+    start(count);
+    answer(LimitStatement.named(2));
+    boxes.await(() -> all().allMatch(box -> box.limitOf(UPSTREAM.start()).isPresent()));
+
+    boxes.startBox();
+    list(count);
+
+    boxes.await(() -> boxes.limits().get(count).limitOf(UPSTREAM.start()).isPresent());
+    assertThat(boxes.onLoop(() -> boxes.limits().get(count).reports()))
+        .extracting(LimitReport::perThousandSeconds)
+        .containsExactly(2_000L);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {FEW, MANY})
+  void eachBoxHasAPlaceOfItsOwn(int count) throws Exception {
+    start(count);
+
+    boxes.await(() -> ranks(count).equals(IntStream.range(0, count).boxed().toList()));
+  }
+
+  private List<Integer> ranks(int count) {
+    return boxes.meshes().stream()
+        .flatMap(mesh -> mesh.rank(UPSTREAM.start()).stream())
+        .filter(rank -> rank.boxes() == count)
+        .map(rank -> rank.rank())
+        .sorted()
+        .toList();
+  }
+
+  private Stream<UpstreamLimits> all() {
+    return boxes.limits().stream();
+  }
+
+  private void start(int count) throws Exception {
+    boxes.startBoxes(count);
+    IntStream.range(0, count).forEach(this::list);
+    if (count == MANY) {
+      boxes.awaitWholeViews(count);
+    }
+  }
+
+  private void list(int box) {
+    try {
+      boxes.onLoop(
+          () -> {
+            boxes.registries().get(box).replaceAll(1, List.of(UPSTREAM));
+            return true;
+          });
+    } catch (Exception e) {
+      throw new AssertionError("the list was not taken on", e);
+    }
+  }
+
+  private void answer(LimitStatement statement) throws Exception {
+    boxes.onLoop(
+        () -> {
+          long sent = MonotonicClock.system().nanos();
+          boxes.limits().get(0).answered(UPSTREAM, sent, statement);
+          return true;
+        });
+  }
+}
