Tests that fail: after the store came back as an older copy the list stands still and verdicts go wrong

What callers and upstreams would see: an upstream that leaves after such a drill goes on getting work, one that starts is not used, until versions have caught up; a request that was held back is let in again and its row is not written again; a verdict that an operator had lifted comes back with the copy. Three boxes, stand-in store with drills (copy, versions given out again, `Store-Era`, 410). The fifth, an upstream whose entry is younger than the copy, holds already, since the list stands still.

--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/BoxesInOneProcess.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/BoxesInOneProcess.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -35,6 +36,9 @@
   /** Tries to listen on a port that was free; several in a row being taken is another fault. */
   private static final int MOST_BINDS = 5;
 
+  /** Another one than that of boxes that other tests run: a port may pass from one to another. */
+  private final PeerSecret secret = new PeerSecret(UUID.randomUUID().toString());
+
   private final LoopResources loops = LoopResources.create("mesh", 1, 1, true, false);
   private final EventLoop loop = loops.onClient(false).next();
   private final List<BoxMesh> meshes = new ArrayList<>();
@@ -111,7 +115,7 @@
     PeerNetwork network =
         new PeerNetwork(
             self,
-            new PeerSecret("a secret of sixteen bytes"),
+            secret,
             new PeerTransport(Optional.empty(), Optional.empty(), Optional.of(loops)),
             new BoxMetrics());
     UpstreamRegistry registry = new UpstreamRegistry(EventLogs.silent());
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
@@ -22,7 +22,10 @@
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
-/** Stand-in of the store: rows with versions, read at once or followed. Thread-safe. */
+/**
+ * Stand-in of the store: rows with versions, read at once or followed. In a drill it comes back as
+ * an older copy of itself. Thread-safe.
+ */
 public final class StoreStandIn implements AutoCloseable {
 
   private static final String HOST = "127.0.0.1";
@@ -38,6 +41,7 @@
   private final StandInServer server;
   private volatile StoreFault fault = StoreFault.NONE;
   private long version;
+  private int era = 1;
 
   /** Starts the store on a free port. */
   public StoreStandIn() {
@@ -64,6 +68,31 @@
     fault = next;
   }
 
+  /** What the store held at one moment. */
+  public static final class Copy {
+
+    private final Map<String, Map<String, Row>> tables = new TreeMap<>();
+    private final long version;
+
+    private Copy(StoreStandIn store) {
+      store.tables.forEach((name, rows) -> tables.put(name, new TreeMap<>(rows)));
+      version = store.version;
+    }
+  }
+
+  /** Returns a copy of all rows. */
+  public synchronized Copy copy() {
+    return new Copy(this);
+  }
+
+  /** Loses all that was written since a copy was taken; versions are given out again. */
+  public synchronized void comeBackAs(Copy copy) {
+    tables.clear();
+    copy.tables.forEach((name, rows) -> tables.put(name, new TreeMap<>(rows)));
+    version = copy.version;
+    era++;
+  }
+
   /** Writes a row. */
   public synchronized void put(String table, String key, String json) {
     version++;
@@ -98,16 +127,18 @@
     String table = parameter(query, "table");
     long after = Long.parseLong(parameter(query, "after_revision"));
     long wait = Long.parseLong(parameter(query, "wait_ms"));
-    if (fault == StoreFault.FORGETFUL) {
-      return StandInHttp.reply(response, GONE, "{}".getBytes(StandardCharsets.UTF_8));
+    if (fault == StoreFault.FORGETFUL || isAhead(after)) {
+      return StandInHttp.reply(inEra(response), GONE, "{}".getBytes(StandardCharsets.UTF_8));
     }
     return answerUnlessFaulty(
         response,
         () ->
             Mono.delay(LOOK)
                 .repeat(wait / LOOK.toMillis())
-                .takeUntil(tick -> changed(table, after))
-                .then(Mono.defer(() -> StandInHttp.reply(response, OK, rows(table, after, true)))));
+                .takeUntil(tick -> isAhead(after) || changed(table, after))
+                .then(
+                    Mono.defer(
+                        () -> StandInHttp.reply(inEra(response), OK, rows(table, after, true)))));
   }
 
   private Publisher<Void> change(HttpServerRequest request, HttpServerResponse response) {
@@ -162,10 +193,23 @@
     return switch (fault) {
       case BUSY -> StandInHttp.reply(response, UNAVAILABLE, new byte[0]);
       case SILENT -> Mono.never();
-      default -> answer.get();
+      default -> {
+        inEra(response);
+        yield answer.get();
+      }
     };
   }
 
+  /** Returns whether a version is one that the store does not have. */
+  private synchronized boolean isAhead(long after) {
+    return after > version;
+  }
+
+  /** Tells in an answer how often the store has come back as a copy. */
+  private synchronized HttpServerResponse inEra(HttpServerResponse response) {
+    return response.header("Store-Era", String.valueOf(era));
+  }
+
   private synchronized boolean changed(String table, long after) {
     return tables.getOrDefault(table, Map.of()).values().stream()
         .anyMatch(row -> row.version() > after);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -158,6 +158,9 @@
   /** Repeats a step until it holds; the test's own time limit ends what never does. */
   static void await(ThrowingCondition condition) throws Exception {
     while (!condition.holds()) {
+      if (Thread.interrupted()) {
+        throw new InterruptedException("time is up");
+      }
       Thread.onSpinWait();
     }
   }
