A store that comes back as an older copy: its era is read, and what the copy lacks or has again is no news

What upstreams and callers would have seen: after a drill the list of upstreams and the evacuations stood still until versions had caught up (work for one that leaves, none for one that starts); a verdict younger than the copy was lifted at all boxes, and one that an operator had lifted came back. Cause: versions were compared as if there were one history, and what a reading lacks was taken for removed.

Change: `follow.TableRevision` makes one number of era and version, from the adapter to the messages between boxes, so that each comparison is by era first. Changes read in another era are lost history. For the first two seconds of an era, a constant each with its ground: entries of upstreams that are missing stay in use and are judged as after an outage; those of upstreams that had gone are not used unless written anew; evacuations hold as they were, and what is written meanwhile holds at once. Verdicts and spent trials that the copy lacks are written again by creating rows, so once in effect, by few; rows of lifted ones are removed again. Keys stay away as the configuration never goes back. A line `table-older-copy` for each table; an odd header changes nothing and is a line (`store-era-odd`).

Ruled out: reading what differs in place of all (versions are given out again: a version that exists in both eras says nothing). Costs at most two calls a table (OlderCopyOfTheListTests).

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
@@ -19,6 +19,7 @@
   private final UpstreamChangeLog log;
   private final Map<String, UpstreamRecord> byId = new HashMap<>();
   private final DepartedUpstreams departed = new DepartedUpstreams();
+  private final ReturnedUpstreams returned = new ReturnedUpstreams();
   private final Set<String> lapsed = new HashSet<>();
   private final List<UpstreamRecord> ended = new ArrayList<>();
   private final List<UpstreamRecord> replaced = new ArrayList<>();
@@ -66,7 +67,16 @@
     byId.keySet().stream().filter(id -> !ids.contains(id)).toList().forEach(this::remove);
   }
 
+  /** Takes in a report of a whole reading. */
+  void read(UpstreamRecord upstream) {
+    if (!returned.holdsBack(upstream)) {
+      put(upstream);
+    }
+  }
+
+  /** Takes in what was just written. */
   void put(UpstreamRecord upstream) {
+    returned.written(upstream.id());
     UpstreamRecord before = byId.get(upstream.id());
     boolean older = before != null && upstream.born() < before.born();
     if (older || departed.contains(upstream) && !upstream.leaving()) {
@@ -92,6 +102,7 @@
 
   private void take(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
     lapsed.remove(upstream.id());
+    returned.isThere(upstream);
     byId.put(upstream.id(), upstream);
     if (!upstream.equals(before) || isNewlyCold(upstream, before)) {
       changedAt = revision;
@@ -114,6 +125,7 @@
   }
 
   void remove(String id) {
+    returned.written(id);
     UpstreamRecord known = byId.get(id);
     if (isDoubted() && known != null && !known.leaving()) {
       lapse(known);
@@ -129,6 +141,11 @@
     }
   }
 
+  /** Entries of upstreams that had gone may be there again without having been written anew. */
+  void distrustReturns() {
+    returned.distrust();
+  }
+
   /** Entries that vanish from now on may only have lapsed. */
   void distrustRemovals() {
     sourceAway = true;
@@ -154,6 +171,7 @@
     sourceAway = false;
     doubtTold = false;
     List.copyOf(lapsed).forEach(this::end);
+    returned.trust().forEach(this::put);
   }
 
   /** Ends a start for good, if it is the newest one. */
@@ -178,6 +196,7 @@
     }
     if (before != null && !before.leaving()) {
       write("upstream-gone", before);
+      returned.gone(before);
       ended.add(before);
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -150,7 +150,7 @@
     if (newRevision >= known.revision()) {
       known.begin(newRevision);
       known.retain(records.stream().map(UpstreamRecord::id).collect(Collectors.toSet()));
-      records.forEach(known::put);
+      records.forEach(known::read);
       conclude();
     }
   }
@@ -173,6 +173,15 @@
     known.distrustRemovals();
   }
 
+  /**
+   * Notes that the list's source came back as an older copy of itself: an entry of an upstream that
+   * had gone may be there again only for that, and is not used until it is written anew or the list
+   * can be trusted.
+   */
+  public void distrustReturns() {
+    known.distrustReturns();
+  }
+
   /**
    * Notes that another box has noticed that the list's source did not answer: this one may not
    * have, as it seldom reads, and what it is told or reads next lacks entries that only lapsed.
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableFollower.java
@@ -38,6 +38,7 @@
   private final EventLog events;
   private final FollowPace pace;
   private long revision = -1;
+  private long era = -1;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
 
   /** The next call, null while one is under way. */
@@ -170,9 +171,25 @@
 
   private void take(TableContent content) {
     revision = content.revision();
+    noteEra(TableRevision.era(revision));
     listener.onContent(content);
   }
 
+  private void noteEra(long eraNow) {
+    long before = era;
+    era = eraNow;
+    if (before >= 0 && before < eraNow) {
+      events
+          .change("table-older-copy")
+          .with("dependency", name)
+          .with("era", eraNow)
+          .with("before", before)
+          .with("version", TableRevision.version(revision))
+          .write();
+      listener.onOlderCopy();
+    }
+  }
+
   private void take(TableChanges changes) {
     revision = Math.max(revision, changes.revision());
     if (!changes.put().isEmpty() || !changes.removed().isEmpty()) {
--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableListener.java
@@ -19,6 +19,13 @@
   /** A call has got no answer: the table may have been away for as long as the call took. */
   default void onAway() {}
 
+  /**
+   * The table came back as an older copy of itself, which follows as a whole reading: what was
+   * written since the copy was taken is missing from it, and what was removed since is there again,
+   * until whoever wrote it does so anew.
+   */
+  default void onOlderCopy() {}
+
   /** The table answers again after it was away; what it says now follows. */
   default void onBack() {}
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlatformFollowers.java
@@ -84,7 +84,8 @@
         new TableFollower(
             "configuration",
             adapters.orderTable(),
-            new OperatorTableListener(adapters.orders(), deployments, registry, mesh::tellNow),
+            new OperatorTableListener(
+                adapters.orders(), deployments, registry, loop, mesh::tellNow),
             loop,
             clock,
             events,
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamTableListener.java
@@ -99,6 +99,14 @@
     onNews.run();
   }
 
+  /** Whoever lives has written its entry again by the time that an outage's lapsed ones are. */
+  @Override
+  public void onOlderCopy() {
+    onAway();
+    upstreams.distrustReturns();
+    onBack();
+  }
+
   @Override
   public void onBack() {
     int ended = outages;
--- a/gradeledge-core/src/main/java/org/gradeledge/node/VerdictKeeper.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/VerdictKeeper.java
@@ -2,9 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,13 +31,6 @@
  */
 final class VerdictKeeper implements TableListener, Trials {
 
-  /**
-   * When a request that is held back is tried once more, counted from the verdict. Upstreams may
-   * have been mended by then; each trial may end one, so that there are two, and the deployment
-   * allows three in all.
-   */
-  private static final List<Duration> TRIALS = List.of(Duration.ofMinutes(10), Duration.ofHours(2));
-
   /** The box that reached a verdict writes it at once; others on duty look after so long. */
   private static final long OTHERS_WRITE_MILLIS = 2_000;
 
@@ -51,14 +42,13 @@
   private final LongSupplier timeOfDayMillis;
   private final BooleanSupplier onDuty;
   private final EventLog events;
-  private final Map<RequestFingerprint, Long> sinceMillis = new HashMap<>();
+  private final VerdictRowKeys keys = new VerdictRowKeys();
+  private final HeldBackTrials trials;
 
-  /**
-   * Keys of rows that were read. What this box has written may be missing from an older reading.
-   */
-  private final Set<String> read = new HashSet<>();
+  /** Verdicts that hold, to be written again where the table loses them. */
+  private final Map<RequestFingerprint, Verdict> verdicts = new HashMap<>();
 
-  private final Set<String> written = new HashSet<>();
+  private boolean olderCopy;
 
   /**
    * Creates the keeper.
@@ -80,26 +70,64 @@
     this.timeOfDayMillis = timeOfDayMillis;
     this.onDuty = onDuty;
     this.events = events;
+    this.trials = new HeldBackTrials(keys, table, loop, timeOfDayMillis, onDuty, events);
     quarantine.onVerdict(this::reached);
     quarantine.onRelease(this::released);
   }
 
+  /** What the copy lacks nobody has lifted, and what it has again may have been lifted since. */
+  @Override
+  public void onOlderCopy() {
+    olderCopy = true;
+  }
+
   @Override
   public void onContent(TableContent content) {
-    Set<String> before = Set.copyOf(read);
-    read.clear();
+    if (olderCopy) {
+      olderCopy = false;
+      takeCopy(content);
+      return;
+    }
+    Set<String> before = keys.beginReading();
     content.rows().forEach(this::take);
-    before.stream().filter(key -> !read.contains(key)).forEach(this::gone);
+    before.stream().filter(key -> !hasRow(content, key)).forEach(this::gone);
+  }
+
+  private void takeCopy(TableContent content) {
+    Set<String> before = keys.beginCopy();
+    content.rows().stream().filter(row -> !keys.isLifted(row.key())).forEach(this::take);
+    removeAgain(content.rows().stream().map(TableRow::key).filter(keys::isLifted).toList());
+    before.stream().filter(key -> !hasRow(content, key)).forEach(this::keepTrial);
+    verdicts.values().stream()
+        .filter(verdict -> !hasRow(content, verdict.fingerprint().toString()))
+        .forEach(verdict -> write(verdict, 0));
+  }
+
+  private static boolean hasRow(TableContent content, String key) {
+    return content.rows().stream().anyMatch(row -> row.key().equals(key));
+  }
+
+  private void removeAgain(List<String> keys) {
+    if (!keys.isEmpty() && onDuty.getAsBoolean()) {
+      table.remove(keys).subscribe(ignored -> {}, failure -> notWritten(keys.get(0), failure));
+    }
+  }
+
+  /** A trial stays spent here, whoever writes its row again. */
+  private void keepTrial(String key) {
+    if (VerdictRow.trialOf(key).isPresent()) {
+      trials.writeAgain(key);
+    }
   }
 
   @Override
   public void onChanges(TableChanges changes) {
     changes.put().forEach(this::take);
-    changes.removed().stream().filter(this::isStored).forEach(this::gone);
+    changes.removed().stream().filter(keys::isStored).forEach(this::gone);
   }
 
   private void take(TableRow row) {
-    read.add(row.key());
+    keys.addRead(row.key());
     if (VerdictRow.trialOf(row.key()).isEmpty()) {
       VerdictRow.read(row)
           .peek(this::hold)
@@ -114,23 +142,19 @@
   }
 
   private void hold(VerdictRow row) {
-    sinceMillis.put(row.fingerprint(), row.sinceMillis());
+    trials.since(row.fingerprint(), row.sinceMillis());
     quarantine.merge(new SuspectNews(List.of(row.report(timeOfDayMillis.getAsLong())), List.of()));
   }
 
-  private boolean isStored(String key) {
-    return read.contains(key) || written.contains(key);
-  }
-
   private void gone(String key) {
-    read.remove(key);
-    written.remove(key);
+    keys.remove(key);
     RequestFingerprint.parse(key).ifPresent(quarantine::lift);
   }
 
   private void reached(Verdict verdict) {
-    sinceMillis.putIfAbsent(
-        verdict.fingerprint(), timeOfDayMillis.getAsLong() - verdict.ageMillis());
+    verdicts.put(verdict.fingerprint(), verdict);
+    keys.heldBack(verdict.fingerprint());
+    trials.sinceAtMost(verdict.fingerprint(), timeOfDayMillis.getAsLong() - verdict.ageMillis());
     events
         .change("request-held-back")
         .with("fingerprint", verdict.fingerprint().toString())
@@ -147,30 +171,30 @@
   /** Also what was reached while the store was away is written once it is back. */
   private void writeUnlessStored(Verdict verdict) {
     RequestFingerprint fingerprint = verdict.fingerprint();
-    if (isStored(fingerprint.toString()) || !quarantine.bars(fingerprint)) {
+    if (keys.isStored(fingerprint.toString()) || !quarantine.bars(fingerprint)) {
       return;
     }
     if (!verdict.decidedHere() && !onDuty.getAsBoolean()) {
       write(verdict, OTHERS_WRITE_MILLIS);
       return;
     }
-    long since = sinceMillis.getOrDefault(fingerprint, timeOfDayMillis.getAsLong());
+    long since = trials.sinceOf(fingerprint);
     table
         .create(new VerdictRow(fingerprint, verdict.starts(), since).write())
         .subscribe(
-            created -> loop.execute(() -> written.add(fingerprint.toString())),
+            created -> loop.execute(() -> keys.addWritten(fingerprint.toString())),
             failure ->
                 loop.execute(
                     () -> {
-                      notWritten(fingerprint, failure);
+                      notWritten(fingerprint.toString(), failure);
                       write(verdict, TRY_AGAIN_MILLIS);
                     }));
   }
 
-  private void notWritten(RequestFingerprint fingerprint, Throwable failure) {
+  private void notWritten(String key, Throwable failure) {
     events
         .problem("verdict-not-written")
-        .with("fingerprint", fingerprint.toString())
+        .with("fingerprint", key)
         .with("why", String.valueOf(failure))
         .write();
   }
@@ -180,6 +204,7 @@
    * judge differently for a moment, and a row that goes clears the request at all of them.
    */
   private void released(RequestFingerprint fingerprint) {
+    verdicts.remove(fingerprint);
     events.change("request-let-go").with("fingerprint", fingerprint.toString()).write();
     if (quarantine.endsUnder(fingerprint) == 0) {
       removeRows(fingerprint);
@@ -187,56 +212,25 @@
   }
 
   private void removeRows(RequestFingerprint fingerprint) {
-    sinceMillis.remove(fingerprint);
-    List<String> keys = new ArrayList<>();
-    keys.add(fingerprint.toString());
-    for (int number = 1; number <= TRIALS.size(); number++) {
-      keys.add(VerdictRow.trialKey(fingerprint, number));
-    }
-    keys.removeIf(key -> !isStored(key));
-    read.removeAll(keys);
-    written.removeAll(keys);
-    if (!keys.isEmpty()) {
+    trials.forget(fingerprint);
+    List<String> stored = keys.storedOf(fingerprint, HeldBackTrials.TRIALS.size());
+    stored.forEach(keys::remove);
+    if (!stored.isEmpty()) {
       table
-          .remove(keys)
+          .remove(stored)
           .subscribe(
-              ignored -> {}, failure -> loop.execute(() -> notWritten(fingerprint, failure)));
+              ignored -> {},
+              failure -> loop.execute(() -> notWritten(fingerprint.toString(), failure)));
     }
   }
 
   @Override
   public Optional<Duration> untilNext(RequestFingerprint fingerprint) {
-    Long since = sinceMillis.get(fingerprint);
-    int taken = trialsTaken(fingerprint);
-    if (since == null || taken == TRIALS.size()) {
-      return Optional.empty();
-    }
-    long age = timeOfDayMillis.getAsLong() - since;
-    return Optional.of(Duration.ofMillis(Math.max(0, TRIALS.get(taken).toMillis() - age)));
+    return trials.untilNext(fingerprint);
   }
 
   @Override
   public Mono<Boolean> take(RequestFingerprint fingerprint) {
-    String key = VerdictRow.trialKey(fingerprint, trialsTaken(fingerprint) + 1);
-    written.add(key);
-    return table
-        .create(new TableRow(key, new byte[0]))
-        .doOnNext(granted -> loop.execute(() -> tellTrial(fingerprint, granted)));
-  }
-
-  private void tellTrial(RequestFingerprint fingerprint, boolean granted) {
-    events
-        .change("held-back-request-tried")
-        .with("fingerprint", fingerprint.toString())
-        .with("granted", granted ? "yes" : "to another box")
-        .write();
-  }
-
-  private int trialsTaken(RequestFingerprint fingerprint) {
-    int taken = 0;
-    while (isStored(VerdictRow.trialKey(fingerprint, taken + 1))) {
-      taken++;
-    }
-    return taken;
+    return trials.take(fingerprint);
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamLimitsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamLimitsTests.java
@@ -2,14 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.discovery.UpstreamRecord;
-import org.gradeledge.event.EventLog;
+import org.gradeledge.event.RecordedEvents;
 import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.Test;
 
@@ -23,10 +20,8 @@
   private long nowMillis = 100_000;
   private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
   private final List<UpstreamRecord> listed = new ArrayList<>(List.of(UPSTREAM));
-  private final ByteArrayOutputStream log = new ByteArrayOutputStream();
-  private final EventLog events =
-      new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8), "box");
-  private final UpstreamLimits limits = new UpstreamLimits(clock, events, () -> listed);
+  private final RecordedEvents events = new RecordedEvents();
+  private final UpstreamLimits limits = new UpstreamLimits(clock, events.log(), () -> listed);
   private int news;
 
   UpstreamLimitsTests() {
@@ -89,22 +84,22 @@
   }
 
   @Test
-  void whatCannotBeReadIsALineOnceForEachText() throws Exception {
+  void whatCannotBeReadIsALineOnceForEachText() {
     answer(LimitStatement.unreadable("many"), 0);
     answer(LimitStatement.unreadable("many"), 0);
     answer(LimitStatement.unreadable("-1"), 0);
 
-    assertThat(lines("upstream-limit-unreadable")).isEqualTo(2);
+    assertThat(events.count("upstream-limit-unreadable")).isEqualTo(2);
   }
 
   @Test
-  void figuresThatHardlyChangeAreNoLineEach() throws Exception {
+  void figuresThatHardlyChangeAreNoLineEach() {
     for (int step = 0; step < 50; step++) {
       answer(LimitStatement.named(1 + step % 2 * 0.1), 0);
     }
     answer(LimitStatement.named(4), 0);
 
-    assertThat(lines("\"upstream-limit\"")).isEqualTo(2);
+    assertThat(events.count("upstream-limit")).isEqualTo(2);
   }
 
   @Test
@@ -188,14 +183,6 @@
     nowMillis += millis;
   }
 
-  private long lines(String event) throws InterruptedException {
-    events.drain(1_000);
-    return log.toString(StandardCharsets.UTF_8)
-        .lines()
-        .filter(line -> line.contains(event))
-        .count();
-  }
-
   private static UpstreamRecord upstream(String id, long born) {
     return new UpstreamRecord(id, born, "service", "127.0.0.1", 1, "zone", 8, false, 0);
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/node/ListInVirtualTime.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/ListInVirtualTime.java
@@ -11,10 +11,13 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.follow.HistoryLostException;
 import org.gradeledge.follow.RevisionedTable;
 import org.gradeledge.follow.TableChanges;
 import org.gradeledge.follow.TableContent;
+import org.gradeledge.follow.TableRevision;
 import org.gradeledge.follow.TableRow;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -38,6 +41,7 @@
   private final List<Change> history = new ArrayList<>();
   private long revision;
   private boolean away;
+  private long era;
   private int calls;
 
   ListInVirtualTime(EventLoop loop) {
@@ -62,6 +66,15 @@
     history.add(new Change(++revision, id, true));
   }
 
+  /** Comes back as a copy with these entries; versions are given out again from a lower one. */
+  void comeBackAs(long version, String... ids) {
+    present.clear();
+    history.clear();
+    era++;
+    revision = version;
+    Stream.of(ids).forEach(id -> present.put(id, true));
+  }
+
   /** Sets from when until when, in milliseconds from now, calls get no answer. */
   void awayUntil(long from, long until) {
     loop.schedule(() -> away = true, from, TimeUnit.MILLISECONDS);
@@ -76,7 +89,10 @@
   @Override
   public Mono<TableContent> read() {
     return answer(
-        () -> new TableContent(revision, present.keySet().stream().map(this::row).toList()));
+        () ->
+            new TableContent(
+                TableRevision.of(era, revision),
+                present.keySet().stream().map(this::row).toList()));
   }
 
   @Override
@@ -84,13 +100,17 @@
     return answer(() -> changesAfter(afterRevision));
   }
 
-  private TableChanges changesAfter(long afterRevision) {
+  private TableChanges changesAfter(long after) {
+    if (TableRevision.era(after) != era) {
+      throw new HistoryLostException("another era");
+    }
+    long afterRevision = TableRevision.version(after);
     Map<String, Boolean> last = new TreeMap<>();
     history.stream()
         .filter(change -> change.revision() > afterRevision)
         .forEach(change -> last.put(change.id(), change.gone()));
     return new TableChanges(
-        revision,
+        TableRevision.of(era, revision),
         last.keySet().stream().filter(id -> !last.get(id)).map(this::row).toList(),
         last.keySet().stream().filter(last::get).toList());
   }
@@ -109,7 +129,15 @@
       loop.schedule(
           () -> sink.error(new IOException("no answer")), CALL_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
     } else {
-      loop.schedule(() -> sink.success(now.get()), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> succeed(sink, now), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private static <T> void succeed(MonoSink<T> sink, Supplier<T> now) {
+    try {
+      sink.success(now.get());
+    } catch (HistoryLostException lost) {
+      sink.error(lost);
     }
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/node/OperatorTableListenerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/OperatorTableListenerTests.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.deployment.Deployments;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -14,6 +16,7 @@
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.follow.TableChanges;
 import org.gradeledge.follow.TableContent;
+import org.gradeledge.follow.TableRevision;
 import org.gradeledge.follow.TableRow;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +38,7 @@
     }
   }
 
+  private final EmbeddedChannel channel = new EmbeddedChannel();
   private final List<Integer> readDocuments = new ArrayList<>();
   private final List<String> told = new ArrayList<>();
   private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
@@ -46,7 +50,71 @@
           },
           EventLogs.silent());
   private final OperatorTableListener listener =
-      new OperatorTableListener(new Orders(), deployments, upstreams, () -> told.add("told"));
+      new OperatorTableListener(
+          new Orders(), deployments, upstreams, channel.eventLoop(), () -> told.add("told"));
+
+  private static final long COPY = TableRevision.of(1, 4);
+
+  @Test
+  void anOrderThatAnOlderCopyLacksHoldsUntilItIsWrittenAgain() {
+    channel.freezeTime();
+    listener.onContent(new TableContent(7, List.of(document(3), zone("east"))));
+
+    comeBack(document(3));
+    pass(1_900);
+    assertThat(upstreams.evacuations().zones()).containsExactly("east");
+    listener.onChanges(new TableChanges(COPY + 1, List.of(zone("east")), List.of()));
+    pass(200);
+
+    assertThat(upstreams.evacuations()).isEqualTo(new ZoneEvacuations(COPY + 1, Set.of("east")));
+  }
+
+  @Test
+  void oneThatWasLiftedSinceTheCopyWasTakenStaysLifted() {
+    channel.freezeTime();
+    listener.onContent(new TableContent(7, List.of(document(3))));
+
+    comeBack(document(3), zone("east"));
+    assertThat(upstreams.evacuations().zones()).isEmpty();
+    listener.onChanges(new TableChanges(COPY + 1, List.of(), List.of("empty:east")));
+    pass(2_100);
+
+    assertThat(upstreams.evacuations().zones()).isEmpty();
+  }
+
+  @Test
+  void whatIsOrderedAfterADrillHoldsAtOnceThoughItsVersionIsLower() {
+    channel.freezeTime();
+    listener.onContent(new TableContent(700, List.of(document(3), zone("east"))));
+
+    comeBack(document(3));
+    listener.onChanges(new TableChanges(COPY + 1, List.of(zone("west")), List.of()));
+
+    assertThat(upstreams.evacuations().zones()).containsExactly("east", "west");
+  }
+
+  @Test
+  void whatIsNotWrittenAgainByThenIsAsTheTableSays() {
+    channel.freezeTime();
+    listener.onContent(new TableContent(7, List.of(document(3), zone("east"))));
+
+    comeBack(document(3), zone("west"));
+    pass(2_100);
+
+    assertThat(upstreams.evacuations()).isEqualTo(new ZoneEvacuations(COPY, Set.of("west")));
+    listener.onChanges(new TableChanges(COPY + 1, List.of(), List.of("empty:west")));
+    assertThat(upstreams.evacuations().zones()).isEmpty();
+  }
+
+  private void comeBack(TableRow... rows) {
+    listener.onOlderCopy();
+    listener.onContent(new TableContent(COPY, List.of(rows)));
+  }
+
+  private void pass(long millis) {
+    channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    channel.runPendingTasks();
+  }
 
   @Test
   void anEvacuationIsReadBesideTheConfiguration() {
--- a/gradeledge-core/src/test/java/org/gradeledge/node/TableInMemory.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/TableInMemory.java
@@ -19,6 +19,12 @@
   private final TreeMap<String, TableRow> rows = new TreeMap<>();
   private long revision;
 
+  /** Comes back as a copy of some rows. */
+  void comeBackAs(List<TableRow> copy) {
+    rows.clear();
+    copy.forEach(row -> rows.put(row.key(), row));
+  }
+
   Set<String> keys() {
     return rows.keySet();
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetStoreDrillTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetStoreDrillTests.java
@@ -6,16 +6,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /**
  * The platform's store comes back as a copy of itself that is some seconds old. What was written
  * there since is gone, and versions are given out again.
+ *
+ * <p>Seen before it was mended: an upstream that left afterwards went on getting work and one that
+ * started got none, until versions had caught up; a request that was held back was let in again.
+ *
+ * <p>Cause: versions were compared as if the store had one history, and what a reading lacks was
+ * taken for removed. Proof: what upstreams run and what the store holds afterwards.
  */
 @Timeout(40)
-@Tag("known-red")
 class FleetStoreDrillTests {
 
   private static final String[] WITH_KEY = {"Authorization", "Bearer " + Fleet.KEY};
