Soak: engines name limits, and the store comes back as an older copy, alone, twice, and while a box is killed

A series of its own with its own seeds, so that other series play as before. Steps on single engines and the configuration of a run move to classes of their own.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecks.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecks.java
@@ -123,6 +123,11 @@
     }
   }
 
+  /** Returns the most requests in 4 s that a limit allows. */
+  static long mostOfLimit(double perSecond) {
+    return (long) (perSecond * 1.5 * 4 + 5);
+  }
+
   private static List<String> broken(
       Collection<SoakCall> calls, Predicate<SoakCall> breaks, Function<SoakCall, String> text) {
     return calls.stream().filter(breaks).map(text).toList();
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngineSteps.java
@@ -0,0 +1,114 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/** What a run does to single engines, and what each must see of it. Thread-safe. */
+final class SoakEngineSteps {
+
+  private static final long LEAVING_BOUND_MILLIS = 2_000;
+  private static final long LEAVING_SLACK_MILLIS = 500;
+
+  /** A limit must be kept so long after it was first named. */
+  private static final long LIMIT_KNOWN_MILLIS = 3_000;
+
+  private static final long LIMIT_WATCHED_MILLIS = 6_000;
+
+  /** A start that has left, and how many requests it had run when its bound was over. */
+  private record Left(FleetEngine engine, int start, int ranByThen) {
+
+    boolean gotMore() {
+      return engine.ranDuring(start) > ranByThen;
+    }
+  }
+
+  private final SoakEngines engines;
+  private final Consumer<String> allServing;
+  private final Consumer<String> broken;
+  private final int patience;
+  private final List<Left> left = new CopyOnWriteArrayList<>();
+
+  /**
+   * Creates them.
+   *
+   * @param allServing notes the boxes that do not serve, with when that is
+   * @param broken takes what was broken
+   * @param patience by how much the bounds of time are stretched
+   */
+  SoakEngineSteps(
+      SoakEngines engines, Consumer<String> allServing, Consumer<String> broken, int patience) {
+    this.engines = engines;
+    this.allServing = allServing;
+    this.broken = broken;
+    this.patience = patience;
+  }
+
+  /** Lets an engine name a limit while nothing else is wrong: it must be kept. */
+  void limitInCalm(FleetEngine engine, double perSecond) throws InterruptedException {
+    allServing.accept("before an engine names a limit");
+    engine.limit().name(String.valueOf(perSecond));
+    SoakRun.last(LIMIT_KNOWN_MILLIS * patience);
+    int first = engine.limit().arrived();
+    SoakRun.last(LIMIT_WATCHED_MILLIS);
+    long most = engine.limit().mostInWindowAfter(first);
+    engine.limit().withdraw();
+    if (most > SoakChecks.mostOfLimit(perSecond)) {
+      broken.accept(engine.id() + " takes " + perSecond + " a second and got " + most + " in 4 s");
+    }
+    allServing.accept("after an engine names no limit any more");
+  }
+
+  /** Takes an engine away: after the bound it must get no new work. */
+  void leave(FleetEngine leaving) throws IOException, InterruptedException {
+    allServing.accept("before an engine leaves");
+    engines.add(leaving.kind());
+    engines.remove(leaving);
+    engines.list(leaving, "draining");
+    awaitBound();
+    left.add(new Left(leaving, leaving.start(), leaving.ranDuring(leaving.start())));
+  }
+
+  /** Takes an engine away, and starts it again under its id once it must get no new work. */
+  void leaveAndComeBack(FleetEngine engine) throws IOException, InterruptedException {
+    allServing.accept("before an engine leaves to come back");
+    int start = engine.start();
+    engines.list(engine, "draining");
+    awaitBound();
+    int ranByThen = engine.ranDuring(start);
+    engine.startAgain();
+    left.add(new Left(engine, start, ranByThen));
+    engines.list(engine, "ready");
+    allServing.accept("after an engine came back under its id");
+  }
+
+  /** Lets an engine crash and start again under its id. */
+  void startAgain(FleetEngine engine) throws IOException {
+    engine.startAgain();
+    engines.list(engine, "ready");
+  }
+
+  /** The same while nothing else is wrong. */
+  void startAgainInCalm(FleetEngine engine) throws IOException, InterruptedException {
+    allServing.accept("before an engine starts again");
+    startAgain(engine);
+    awaitBound();
+    int askedByThen = engine.askedOfOthers().size();
+    allServing.accept("after an engine started again");
+    if (engine.askedOfOthers().size() > askedByThen) {
+      broken.accept(engine.id() + " was asked about results of the start before");
+    }
+  }
+
+  private void awaitBound() throws InterruptedException {
+    SoakRun.last((LEAVING_BOUND_MILLIS + LEAVING_SLACK_MILLIS) * patience);
+  }
+
+  /** Notes the starts that got work after they had left. */
+  void judge() {
+    left.stream()
+        .filter(Left::gotMore)
+        .forEach(each -> broken.accept(each.engine().id() + " got work after it had left"));
+  }
+}
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
@@ -46,6 +46,11 @@
     store.put("servers", engine.id(), row.replace(engine.address(), address));
   }
 
+  /** Puts the rows of all that serve. */
+  void listAll() {
+    serving.forEach(engine -> list(engine, "ready"));
+  }
+
   FleetEngine any(Random random) {
     return serving.get(random.nextInt(serving.size()));
   }
@@ -65,6 +70,7 @@
   /** Ends all faults of engines and links. */
   void lift() {
     serving.forEach(engine -> engine.setFault(EngineFault.NONE));
+    serving.forEach(engine -> engine.limit().withdraw());
     allLinks.forEach(link -> link.set(FaultyLink.Fault.NONE));
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -26,34 +26,26 @@
 
   private static final int CALLERS_OF_BOX = 3;
   private static final int SERIES = 3;
-  private static final long LEAVING_BOUND_MILLIS = 2_000;
-  private static final long LEAVING_SLACK_MILLIS = 500;
   private static final Duration RECOVERY = Duration.ofSeconds(12);
 
-  /** A start that has left, and how many requests it had run when its bound was over. */
-  private record Left(FleetEngine engine, int start, int ranByThen) {
-
-    boolean gotMore() {
-      return engine.ranDuring(start) > ranByThen;
-    }
-  }
+  private static final long WORD_SEEDS = 0x5eed;
 
   private final Random seeds;
   private final Random startSeeds;
+  private final Random wordSeeds;
   private final Path folder;
   private final int patience;
   private final long endMillis;
   private final StoreStandIn store = new StoreStandIn();
   private final SoakEngines engines;
   private final List<SoakBox> boxes = new ArrayList<>();
-  private final List<Left> left = new CopyOnWriteArrayList<>();
+  private final SoakEngineSteps engineSteps;
   private final List<SoakChecks.PlannedStop> stops = new CopyOnWriteArrayList<>();
   private final List<String> broken = new CopyOnWriteArrayList<>();
   private final List<String> steps = new CopyOnWriteArrayList<>();
   private final ReadWriteLock calm = new ReentrantReadWriteLock(true);
   private final SoakCallers callers;
-  private int version = 1;
-  private String routes = "";
+  private final SoakConfiguration configuration = new SoakConfiguration(store);
 
   /**
    * Prepares a run; nothing is started yet.
@@ -63,12 +55,13 @@
   SoakRun(long seed, Duration length, int boxCount, int patience, Path folder) throws IOException {
     this.seeds = new Random(seed);
     this.startSeeds = new Random(~seed);
+    this.wordSeeds = new Random(seed ^ WORD_SEEDS);
     this.engines = new SoakEngines(store, seeds);
     this.patience = patience;
+    this.engineSteps = new SoakEngineSteps(engines, this::expectAllServing, broken::add, patience);
     this.folder = folder;
     this.callers = new SoakCallers("s" + seed);
     this.endMillis = SoakCallers.millis() + length.toMillis();
-    store.put("op", "config", FleetConfiguration.of(version, routes));
     for (EngineKind kind : EngineKind.values()) {
       engines.add(kind);
       engines.add(kind);
@@ -106,13 +99,14 @@
   }
 
   private void playSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(SERIES + 1);
+    ExecutorService series = Executors.newFixedThreadPool(SERIES + 2);
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < SERIES; i++) {
       Random random = new Random(seeds.nextLong());
       running.add(series.submit(() -> playOneSeries(SoakStep.values(), random)));
     }
     running.add(series.submit(() -> playOneSeries(SoakStartStep.values(), startSeeds)));
+    running.add(series.submit(() -> playOneSeries(SoakWordStep.values(), wordSeeds)));
     for (Future<?> each : running) {
       each.get();
     }
@@ -148,6 +142,10 @@
     return engines;
   }
 
+  SoakEngineSteps engineSteps() {
+    return engineSteps;
+  }
+
   StoreStandIn store() {
     return store;
   }
@@ -176,57 +174,14 @@
   }
 
   /** Adds a route, which callers ask for from then on. */
-  synchronized void addRoute() {
-    version++;
-    String prefix = "/add-" + version + "/";
-    routes += "," + FleetConfiguration.route(prefix, "idempotent", "plain", "");
-    store.put("op", "config", FleetConfiguration.of(version, routes));
-    callers.added(prefix);
-  }
-
-  /** Takes an engine away: after the bound it must get no new work. */
-  void leave(FleetEngine leaving) throws IOException, InterruptedException {
-    expectAllServing("before an engine leaves");
-    engines.add(leaving.kind());
-    engines.remove(leaving);
-    engines.list(leaving, "draining");
-    awaitBound();
-    left.add(new Left(leaving, leaving.start(), leaving.ranDuring(leaving.start())));
-  }
-
-  /** Takes an engine away, and starts it again under its id once it must get no new work. */
-  void leaveAndComeBack(FleetEngine engine) throws IOException, InterruptedException {
-    expectAllServing("before an engine leaves to come back");
-    int start = engine.start();
-    engines.list(engine, "draining");
-    awaitBound();
-    int ranByThen = engine.ranDuring(start);
-    engine.startAgain();
-    left.add(new Left(engine, start, ranByThen));
-    engines.list(engine, "ready");
-    expectAllServing("after an engine came back under its id");
-  }
-
-  /** Lets an engine crash and start again under its id. */
-  void startAgain(FleetEngine engine) throws IOException {
-    engine.startAgain();
-    engines.list(engine, "ready");
-  }
-
-  /** The same while nothing else is wrong. */
-  void startAgainInCalm(FleetEngine engine) throws IOException, InterruptedException {
-    expectAllServing("before an engine starts again");
-    startAgain(engine);
-    awaitBound();
-    int askedByThen = engine.askedOfOthers().size();
-    expectAllServing("after an engine started again");
-    if (engine.askedOfOthers().size() > askedByThen) {
-      broken.add(engine.id() + " was asked about results of the start before");
-    }
+  void addRoute() {
+    callers.added(configuration.addRoute());
   }
 
-  private void awaitBound() throws InterruptedException {
-    last((LEAVING_BOUND_MILLIS + LEAVING_SLACK_MILLIS) * patience);
+  /** Operator and engines write again what the store may have lost. */
+  void writeAgain() {
+    configuration.write();
+    engines.listAll();
   }
 
   private void lift() throws IOException {
@@ -261,9 +216,7 @@
     broken.addAll(SoakChecks.notRunIsTrue(callers.calls(), ran));
     broken.addAll(SoakChecks.neverBack(callers.calls()));
     broken.addAll(SoakChecks.stopCutsNothing(callers.calls(), ran, stops));
-    left.stream()
-        .filter(Left::gotMore)
-        .forEach(each -> broken.add(each.engine().id() + " got work after it had left"));
+    engineSteps.judge();
   }
 
   @Override
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStartStep.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStartStep.java
@@ -12,7 +12,7 @@
   START_AGAIN(false) {
     @Override
     public void play(SoakRun run, Random random) throws IOException, InterruptedException {
-      run.startAgain(run.engines().any(random));
+      run.engineSteps().startAgain(run.engines().any(random));
       SoakRun.last(500 + random.nextInt(1_500));
     }
   },
@@ -20,14 +20,14 @@
   START_AGAIN_IN_CALM(true) {
     @Override
     public void play(SoakRun run, Random random) throws IOException, InterruptedException {
-      run.startAgainInCalm(run.engines().any(random));
+      run.engineSteps().startAgainInCalm(run.engines().any(random));
     }
   },
   /** An engine leaves, and comes back under its id, while nothing else is wrong. */
   COME_BACK_IN_CALM(true) {
     @Override
     public void play(SoakRun run, Random random) throws IOException, InterruptedException {
-      run.leaveAndComeBack(run.engines().any(random));
+      run.engineSteps().leaveAndComeBack(run.engines().any(random));
     }
   },
   /** Something else writes rows into the list, one of them over the row of an engine. */
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStep.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStep.java
@@ -102,7 +102,7 @@
   LEAVE_IN_CALM(true) {
     @Override
     public void play(SoakRun run, Random random) throws IOException, InterruptedException {
-      run.leave(run.engines().any(random));
+      run.engineSteps().leave(run.engines().any(random));
     }
   };
 
