--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/NewsAmongManyBoxesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/NewsAmongManyBoxesTests.java
@@ -6,7 +6,9 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.discovery.ZoneEvacuations;
+import org.gradeledge.follow.TableRevision;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -21,6 +23,8 @@
   private static final long REVISION = 7;
   private static final UpstreamRecord UPSTREAM =
       new UpstreamRecord("id", "service", "127.0.0.1", 1, "zone-0", 1, false);
+  private static final UpstreamRecord STARTED_AFTERWARDS =
+      new UpstreamRecord("afterwards", "service", "10.0.0.2", 1, "zone-1", 1, false);
 
   private final BoxesInOneProcess boxes = new BoxesInOneProcess();
 
@@ -71,6 +75,33 @@
         .isEqualTo(count);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {BOXES, 61, 86})
+  void whatOneBoxReadsAfterADrillReachesAllAndDropsNothingThatTheCopyLacks(int count)
+      throws Exception {
+    boxes.startBoxes(count);
+    boxes.awaitWholeViews(count);
+    boxes.onLoop(() -> learn(0));
+    boxes.await(() -> boxes.registries().stream().allMatch(each -> each.revision() == REVISION));
+
+    boxes.onLoop(() -> readOlderCopyAt(0));
+    boxes.await(
+        () -> boxes.registries().stream().allMatch(each -> each.isUsable(STARTED_AFTERWARDS)));
+
+    assertThat(
+            boxes.onLoop(
+                () -> boxes.registries().stream().filter(each -> each.isUsable(UPSTREAM)).count()))
+        .isEqualTo(count);
+  }
+
+  private boolean readOlderCopyAt(int box) {
+    UpstreamRegistry registry = boxes.registries().get(box);
+    registry.distrustRemovals();
+    registry.replaceAll(TableRevision.of(1, 2), List.of(STARTED_AFTERWARDS));
+    boxes.meshes().get(box).tellNow();
+    return true;
+  }
+
   private boolean lapseAt(int box) {
     boxes.registries().get(box).distrustRemovals();
     boxes.registries().get(box).update(REVISION + 1, List.of(), List.of(UPSTREAM.id()));
