--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -23,6 +23,8 @@
 
   private static final double HURRY_CALLS = 2;
   private static final double MILLIS_OF_SECOND = 1e3;
+
+  /** Each call's results are given up by a release or so, which counts as a request too. */
   private static final double CALLS_OF_REQUESTS = 0.5;
 
   private final String service;
@@ -90,7 +92,7 @@
 
   /**
    * Returns how many upstreams without limits make as much as these: one that takes fewer calls
-   * than it could make counts for a part. Releases of results take half of what it takes.
+   * than it could make counts for a part.
    */
   private double wholeUpstreams(List<BatchUpstream> known, BatchLimits limits) {
     return known.stream()
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
@@ -27,7 +27,7 @@
 
   private static final long GATHER_MILLIS = 8;
 
-  /** An upstream that names a limit takes few requests, and a call for work comes first. */
+  /** As long as calls wait for an upstream that names a limit: a few times a turn of it. */
   private static final long HELD_OFF_MILLIS = 100;
 
   private final EventLoop loop;
--- a/gradeledge-core/src/main/java/org/gradeledge/limit/LimitShare.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/LimitShare.java
@@ -20,9 +20,7 @@
  */
 public record LimitShare(double perSecond, double depth, double firstLevel) {
 
-  /**
-   * Part of the limit that is given out; what is left is for what is not asked for, as releases.
-   */
+  /** Part of the limit that is given out; what is left is room for bursts. */
   private static final double GIVEN_OUT = 0.9;
 
   /** Over this time the deployment's rule counts, in seconds. */
@@ -34,6 +32,7 @@
   /** ... and so many requests more. */
   private static final double MOST_EXTRA = 5;
 
+  /** Part of what the rule allows over what is given out that the buckets hold; see above. */
   private static final double SLACK_USED = 0.75;
 
   /**
