--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/LimitedBatchUpstreamTests.java
@@ -0,0 +1,146 @@
+package org.gradeledge.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gradeledge.connection.FakeUpstreamCaller;
+import org.gradeledge.deployment.BatchLimits;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.gradeledge.event.EventLogs;
+import org.gradeledge.limit.SendingRule;
+import org.gradeledge.retry.RetryBudget;
+import org.gradeledge.selection.LoadBoard;
+import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.Test;
+
+/** Calls for stage work and releases of results where upstreams take few, in virtual time. */
+class LimitedBatchUpstreamTests {
+
+  private static final UpstreamRecord FIRST = upstream(1);
+  private static final UpstreamRecord SECOND = upstream(2);
+  private static final BatchLimits LIMITS = new BatchLimits(1, 4, 200, 10, 1_000, 60_000);
+
+  /** Admits what a test says, and counts what is sent. */
+  private static final class HandMadeRule implements SendingRule {
+
+    private final Map<String, Integer> left = new HashMap<>();
+    private double perSecond = Double.POSITIVE_INFINITY;
+
+    @Override
+    public boolean admits(UpstreamRecord upstream) {
+      return left.getOrDefault(upstream.id(), 1) > 0;
+    }
+
+    @Override
+    public void sent(UpstreamRecord upstream) {
+      left.computeIfPresent(upstream.id(), (id, count) -> count - 1);
+    }
+
+    @Override
+    public double millisUntilAdmitted(UpstreamRecord upstream, double sentBefore) {
+      return admits(upstream) ? 0 : 500;
+    }
+
+    @Override
+    public double perSecond(UpstreamRecord upstream) {
+      return perSecond;
+    }
+  }
+
+  private long nowMillis = 100_000;
+  private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
+  private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
+  private final HandMadeRule rule = new HandMadeRule();
+  private final BatchCoordinator coordinator =
+      BatchCoordinator.builder()
+          .box("box", channel.eventLoop(), clock)
+          .upstreams(upstreams, service -> Optional.of(LIMITS))
+          .calls(caller, new FakeStageProtocol())
+          .beliefs(
+              new LoadBoard(clock, EventLogs.silent()),
+              new RetryBudget(clock, 0, 10, Duration.ofSeconds(10), () -> 1),
+              EventLogs.silent())
+          .sending(rule)
+          .build();
+
+  LimitedBatchUpstreamTests() {
+    channel.freezeTime();
+  }
+
+  @Test
+  void anUpstreamThatTakesNoMoreNowIsPassedOver() throws Exception {
+    upstreams.replaceAll(1, List.of(FIRST, SECOND));
+    rule.left.put(FIRST.id(), 0);
+
+    coordinator.submit(StageGroups.group("a", 2), result -> {});
+
+    assertThat(caller.next().target()).isEqualTo(SECOND);
+  }
+
+  @Test
+  void piecesWaitForOneThatTakesThemLater() throws Exception {
+    upstreams.replaceAll(1, List.of(FIRST));
+    rule.left.put(FIRST.id(), 0);
+    coordinator.submit(StageGroups.group("a", 2), result -> {});
+    pass(300);
+    assertThat(caller.isQuiet()).isTrue();
+
+    rule.left.put(FIRST.id(), 1);
+    pass(50);
+
+    assertThat(caller.next().target()).isEqualTo(FIRST);
+    assertThat(rule.left).containsEntry(FIRST.id(), 0);
+  }
+
+  @Test
+  void releasesWaitAndGoTogether() throws Exception {
+    upstreams.replaceAll(1, List.of(FIRST));
+    rule.left.put(FIRST.id(), 0);
+    coordinator.free(List.of("10.0.0.1:1/x"));
+    pass(150);
+    coordinator.free(List.of("10.0.0.1:1/y"));
+    pass(150);
+    assertThat(caller.isQuiet()).isTrue();
+
+    rule.left.put(FIRST.id(), 1);
+    pass(150);
+
+    assertThat(caller.next().body().split(" ")).containsExactly("10.0.0.1:1/x", "10.0.0.1:1/y");
+    assertThat(caller.isQuiet()).isTrue();
+    assertThat(rule.left).containsEntry(FIRST.id(), 0);
+  }
+
+  @Test
+  void whatWaitsForLimitedUpstreamsKeepsThemBusyForLonger() {
+    upstreams.replaceAll(1, List.of(FIRST, SECOND));
+    rule.left.put(FIRST.id(), 0);
+    rule.left.put(SECOND.id(), 0);
+    coordinator.submit(StageGroups.group("a", 40), result -> {});
+    long unlimited = coordinator.backlogMillisOf("service", 9);
+
+    rule.perSecond = 1;
+
+    assertThat(coordinator.backlogMillisOf("service", 9)).isGreaterThan(5 * unlimited);
+  }
+
+  private void pass(long millis) {
+    for (long step = 0; step < millis; step++) {
+      nowMillis++;
+      channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+      channel.runPendingTasks();
+    }
+  }
+
+  private static UpstreamRecord upstream(int port) {
+    return new UpstreamRecord("u" + port, "service", "10.0.0.1", port, "zone", 1, false);
+  }
+}
