--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -239,9 +240,13 @@
     return reset(socket);
   }
 
+  /** A connection that its caller has closed by now needs no reset. */
   private static boolean reset(Socket socket) throws IOException {
-    socket.setSoLinger(true, 0);
-    socket.close();
+    try (socket) {
+      socket.setSoLinger(true, 0);
+    } catch (SocketException closed) {
+      return false;
+    }
     return false;
   }
 
