Read again: one rule that holds nothing back, no state of a bucket that nobody reads, a bound with a name, one way to put zones in force

`SendingRule.NONE` is all of no rules; `TokenBucket.depth` was written and never read; the bound on eras was a shift by 17; the zones in force were replaced in three places. No behaviour changes.

--- a/gradeledge-core/src/main/java/org/gradeledge/follow/TableRevision.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/TableRevision.java
@@ -15,12 +15,13 @@
   private static final int VERSION_BITS = 40;
 
   private static final long MOST_VERSIONS = 1L << VERSION_BITS;
+  private static final long MOST_ERAS = 1L << Long.SIZE - 1 - VERSION_BITS;
 
   private TableRevision() {}
 
   /** Returns the revision of a version in an era. */
   public static long of(long era, long version) {
-    if (era < 0 || era >= MOST_VERSIONS >> 17 || version < 0 || version >= MOST_VERSIONS) {
+    if (era < 0 || era >= MOST_ERAS || version < 0 || version >= MOST_VERSIONS) {
       throw new IllegalArgumentException("no place in a history: " + era + "/" + version);
     }
     return era << VERSION_BITS | version;
--- a/gradeledge-core/src/main/java/org/gradeledge/limit/SendingRule.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/SendingRule.java
@@ -12,27 +12,7 @@
 public interface SendingRule {
 
   /** A rule that holds nothing back. */
-  SendingRule NONE =
-      new SendingRule() {
-
-        @Override
-        public boolean admits(UpstreamRecord upstream) {
-          return true;
-        }
-
-        @Override
-        public void sent(UpstreamRecord upstream) {}
-
-        @Override
-        public double millisUntilAdmitted(UpstreamRecord upstream, double sentBefore) {
-          return 0;
-        }
-
-        @Override
-        public double perSecond(UpstreamRecord upstream) {
-          return Double.POSITIVE_INFINITY;
-        }
-      };
+  SendingRule NONE = allOf();
 
   /** Returns whether one more request may be sent to an upstream now. */
   boolean admits(UpstreamRecord upstream);
--- a/gradeledge-core/src/main/java/org/gradeledge/limit/TokenBucket.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/TokenBucket.java
@@ -15,22 +15,19 @@
   private static final double MILLIS_OF_SECOND = 1e3;
 
   private double perSecond;
-  private double depth;
   private double level;
   private long filledNanos;
 
   /** Creates a bucket with a level; it does not fill before it is told a rate. */
   public TokenBucket(double level, long nowNanos) {
     this.level = level;
-    this.depth = Math.max(level, TOKEN);
     this.filledNanos = nowNanos;
   }
 
-  /** Fills it by the time that has passed, and takes on its rate and depth from now on. */
-  public void fill(double newPerSecond, double newDepth, long nowNanos) {
+  /** Fills it by the time that has passed, and takes on its rate from now on, within a depth. */
+  public void fill(double newPerSecond, double depth, long nowNanos) {
     double seconds = Math.max(0, nowNanos - filledNanos) / NANOS_OF_SECOND;
     perSecond = newPerSecond;
-    depth = newDepth;
     level = Math.min(depth, level + perSecond * seconds);
     filledNanos = nowNanos;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/OperatorTableListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/OperatorTableListener.java
@@ -58,8 +58,7 @@
     evacuated.clear();
     zones(content.rows().stream().map(TableRow::key)).forEach(evacuated::add);
     if (!settling) {
-      inForce.clear();
-      inForce.addAll(evacuated);
+      putInForce(evacuated);
     }
     tell(content.revision());
     offer(content.rows());
@@ -69,12 +68,10 @@
   public void onChanges(TableChanges changes) {
     List<String> put = zones(changes.put().stream().map(TableRow::key)).toList();
     List<String> removed = zones(changes.removed().stream()).toList();
-    Stream.of(evacuated, inForce)
-        .forEach(
-            zones -> {
-              zones.addAll(put);
-              removed.forEach(zones::remove);
-            });
+    for (Set<String> zones : List.of(evacuated, inForce)) {
+      zones.addAll(put);
+      removed.forEach(zones::remove);
+    }
     tell(changes.revision());
     offer(changes.put());
   }
@@ -87,20 +84,23 @@
   public void onOlderCopy() {
     int number = ++copies;
     settling = true;
-    inForce.clear();
-    inForce.addAll(upstreams.evacuations().zones());
+    putInForce(upstreams.evacuations().zones());
     loop.schedule(() -> settled(number), WRITTEN_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void settled(int number) {
     if (number == copies) {
       settling = false;
-      inForce.clear();
-      inForce.addAll(evacuated);
+      putInForce(evacuated);
       tell(revision);
     }
   }
 
+  private void putInForce(Set<String> zones) {
+    inForce.clear();
+    inForce.addAll(zones);
+  }
+
   private Stream<String> zones(Stream<String> keys) {
     return keys.flatMap(key -> orders.evacuatedZone(key).stream());
   }
