Observability: what upstreams say in answers of leaving and of backing off is read, logged and shown

Nothing is decided by it yet: the choice of upstreams is unchanged.

Requests reached upstreams that had said in their answers that they leave, and that had turned requests away and asked for some seconds without any. The boxes' lines name each upstream that a request was sent to, but no line says what an upstream said of itself, so that "nobody reads it", "it was read too late" and "it was read and forgotten" look the same.

The head of each answer to any call is now decoded once, in platform/EngineSignalReader, into one value (limit, leaving, backoff), and told once. New lines: upstream-announces-leaving, upstream-backoff, upstream-leaving-unreadable, upstream-backoff-unreadable; new gauges: gradeledge_upstreams_announced_leaving, gradeledge_upstreams_backing_off.

The reader of limits is a part of that reader.

--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamSignals.java
@@ -0,0 +1,22 @@
+package org.gradeledge.connection;
+
+import org.gradeledge.discovery.LeavingStatement;
+import org.gradeledge.limit.BackoffStatement;
+import org.gradeledge.limit.LimitStatement;
+
+/**
+ * What the head of one answer says of the upstream that gave it, whatever the request was.
+ *
+ * @param limit how many requests it takes from all boxes together
+ * @param leaving whether it leaves
+ * @param backoff for how long it wants nothing from this box
+ * @since 0.5
+ */
+public record UpstreamSignals(
+    LimitStatement limit, LeavingStatement leaving, BackoffStatement backoff) {
+
+  /** What an answer says that another upstream gave. */
+  public static final UpstreamSignals NONE =
+      new UpstreamSignals(
+          LimitStatement.NOTHING, LeavingStatement.NOTHING, BackoffStatement.NOTHING);
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
@@ -21,6 +21,7 @@
   private final DepartedUpstreams departed = new DepartedUpstreams();
   private final ReturnedUpstreams returned = new ReturnedUpstreams();
   private final Set<String> lapsed = new HashSet<>();
+  private final Set<String> announced = new HashSet<>();
   private final List<UpstreamRecord> ended = new ArrayList<>();
   private final List<UpstreamRecord> replaced = new ArrayList<>();
   private final List<UpstreamRecord> cold = new ArrayList<>();
@@ -180,6 +181,19 @@
     find(upstream).ifPresent(known -> end(known.id()));
   }
 
+  /** Notes that a start said in an answer that it leaves. */
+  void announceLeaving(UpstreamRecord upstream) {
+    if (find(upstream).isPresent() && announced.add(upstream.start())) {
+      write("upstream-announces-leaving", upstream);
+    }
+  }
+
+  /** Returns how many have said in an answer that they leave and are still listed. */
+  long announcedLeaving() {
+    announced.retainAll(byId.values().stream().map(UpstreamRecord::start).toList());
+    return announced.size();
+  }
+
   /** Ends a start whose entry has vanished, until it is listed again. */
   void endIfLapsed(UpstreamRecord upstream) {
     if (find(upstream).filter(this::isLapsed).isPresent()) {
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -217,6 +217,16 @@
     conclude();
   }
 
+  /** Notes that an upstream said in an answer that it leaves. */
+  public void announcesLeaving(UpstreamRecord upstream) {
+    known.announceLeaving(upstream);
+  }
+
+  /** Returns how many upstreams have said in an answer that they leave and are still listed. */
+  public long announcedLeaving() {
+    return known.announcedLeaving();
+  }
+
   /**
    * Notes that an upstream closes connections as one that leaves does. Others do so at times; one
    * whose entry has vanished as well is out of use until it renews that.
--- a/gradeledge-core/src/main/java/org/gradeledge/limit/UpstreamLimits.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/UpstreamLimits.java
@@ -7,11 +7,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.gradeledge.discovery.UnreadableSignals;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.time.MonotonicClock;
@@ -65,7 +65,7 @@
   private final Supplier<Collection<UpstreamRecord>> listed;
   private final Map<String, Known> byStart = new HashMap<>();
   private final Map<String, Known> logged = new HashMap<>();
-  private final Map<String, String> unreadable = new HashMap<>();
+  private final UnreadableSignals unreadable;
   private Runnable onNews = () -> {};
 
   /**
@@ -78,6 +78,7 @@
     this.clock = clock;
     this.events = events;
     this.listed = listed;
+    this.unreadable = new UnreadableSignals(events, "upstream-limit-unreadable");
   }
 
   /** Runs an action whenever this box itself hears a first limit of an upstream, or its end. */
@@ -107,7 +108,7 @@
     switch (statement.kind()) {
       case NAMED -> named(upstream, statement.perSecond());
       case NO_LIMIT -> lifted(upstream, sentNanos);
-      case UNREADABLE -> noteUnreadable(upstream, statement.text());
+      case UNREADABLE -> unreadable.note(upstream, statement.text());
       case NOTHING -> {}
       default -> throw new IllegalStateException("unknown statement " + statement.kind());
     }
@@ -129,17 +130,6 @@
     }
   }
 
-  private void noteUnreadable(UpstreamRecord upstream, String text) {
-    if (!Objects.equals(unreadable.put(upstream.start(), text), text)) {
-      events
-          .problem("upstream-limit-unreadable")
-          .with("upstream", upstream.id())
-          .with("service", upstream.service())
-          .with("text", text)
-          .write();
-    }
-  }
-
   /**
    * Takes in what another box told so many milliseconds ago; returns whether any of it is other
    * than was known.
@@ -197,7 +187,6 @@
     Set<String> there = listed.get().stream().map(UpstreamRecord::start).collect(toSet());
     byStart.keySet().retainAll(there);
     logged.keySet().retainAll(there);
-    unreadable.keySet().retainAll(there);
     long now = clock.nanos();
     return byStart.entrySet().stream()
         .filter(
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
@@ -1,10 +1,10 @@
 package org.gradeledge.node;
 
 import org.gradeledge.batch.StageProtocol;
+import org.gradeledge.connection.SignalReader;
 import org.gradeledge.deployment.DeploymentReader;
 import org.gradeledge.follow.RevisionedTable;
 import org.gradeledge.follow.WritableTable;
-import org.gradeledge.limit.LimitReader;
 import org.gradeledge.relay.RelayProtocol;
 
 /**
@@ -12,7 +12,7 @@
  *
  * @param relay how requests look on the wire
  * @param stages how calls for stage work look on the wire
- * @param limits how upstreams say what they take
+ * @param signals how upstreams say what the heads of their answers tell of themselves
  * @param configurations reads configuration documents
  * @param upstreamReader reads rows of the list of upstreams
  * @param orders tells what rows of the table of orders mean
@@ -24,7 +24,7 @@
 public record RelayAdapters(
     RelayProtocol relay,
     StageProtocol stages,
-    LimitReader limits,
+    SignalReader signals,
     DeploymentReader configurations,
     UpstreamRowReader upstreamReader,
     OperatorOrderReader orders,
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -94,9 +94,9 @@
     PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit, clock);
     upstreams.onEnd(caller::end);
     upstreams.onReplaced(caller::breakOff);
-    sending.listen(caller, adapters.limits(), mesh);
+    sending.listen(caller, adapters.signals(), mesh);
     LimitedSending limited = sending.limited(mesh);
-    metrics.watchLimits(sending.limits()::count, limited::heldOff);
+    sending.show(metrics, limited);
     upstreams.onEnd(board::forget);
     BatchCoordinator coordinator =
         BatchCoordinator.builder()
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
@@ -5,14 +5,20 @@
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import org.gradeledge.connection.PooledUpstreamCaller;
+import org.gradeledge.connection.SignalReader;
+import org.gradeledge.connection.UpstreamSignals;
 import org.gradeledge.deployment.ServiceDefinition;
+import org.gradeledge.discovery.LeavingStatement;
+import org.gradeledge.discovery.UnreadableSignals;
+import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLog;
-import org.gradeledge.limit.LimitReader;
 import org.gradeledge.limit.LimitedSending;
 import org.gradeledge.limit.SendingRule;
+import org.gradeledge.limit.UpstreamBackoffs;
 import org.gradeledge.limit.UpstreamLimits;
 import org.gradeledge.mesh.BoxMesh;
+import org.gradeledge.relay.RelayMetrics;
 import org.gradeledge.selection.ColdUpstreams;
 import org.gradeledge.time.MonotonicClock;
 
@@ -23,6 +29,8 @@
   private final UpstreamRegistry upstreams;
   private final Function<String, Optional<ServiceDefinition>> services;
   private final UpstreamLimits limits;
+  private final UpstreamBackoffs backoffs;
+  private final UnreadableSignals unreadableLeaving;
 
   UpstreamSending(
       MonotonicClock clock,
@@ -33,6 +41,8 @@
     this.upstreams = upstreams;
     this.services = services;
     this.limits = new UpstreamLimits(clock, events, upstreams::all);
+    this.backoffs = new UpstreamBackoffs(clock, events);
+    this.unreadableLeaving = new UnreadableSignals(events, "upstream-leaving-unreadable");
   }
 
   /** Returns the limits that are known. */
@@ -40,14 +50,21 @@
     return limits;
   }
 
-  /** Reads the limits in all answers, and has the mesh tell what is new at once. */
-  void listen(PooledUpstreamCaller caller, LimitReader reader, BoxMesh mesh) {
+  /** Shows what upstreams say of themselves. */
+  void show(RelayMetrics metrics, LimitedSending limited) {
+    metrics.watchLimits(limits::count, limited::heldOff);
+    metrics.watchSignals(upstreams::announcedLeaving, backoffs::count);
+  }
+
+  /** Reads what all answers say of their upstreams, and has the mesh tell what is new at once. */
+  void listen(PooledUpstreamCaller caller, SignalReader reader, BoxMesh mesh) {
     caller.onAnswer(
         (upstream, head) -> {
-          limits.answered(
-              upstream,
-              head.sentNanos(),
-              reader.read(head.request().uri(), head.status(), head.headers()));
+          UpstreamSignals signals =
+              reader.read(head.request().uri(), head.status(), head.headers());
+          limits.answered(upstream, head.sentNanos(), signals.limit());
+          backoffs.answered(upstream, signals.backoff());
+          leaving(upstream, signals.leaving());
           if (head.closes()) {
             upstreams.closesConnections(upstream);
           }
@@ -55,6 +72,15 @@
     limits.onNews(mesh::tellNow);
   }
 
+  private void leaving(UpstreamRecord upstream, LeavingStatement statement) {
+    switch (statement.kind()) {
+      case LEAVES -> upstreams.announcesLeaving(upstream);
+      case UNREADABLE -> unreadableLeaving.note(upstream, statement.text());
+      case NOTHING -> {}
+      default -> throw new IllegalStateException("unknown statement " + statement.kind());
+    }
+  }
+
   /** Returns the rule of limits that upstreams name, for all requests. */
   LimitedSending limited(BoxMesh mesh) {
     return new LimitedSending(
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -89,6 +89,25 @@
         .register(registry);
   }
 
+  /**
+   * Shows what upstreams say of themselves in their answers.
+   *
+   * @param leaving how many have said that they leave and are still listed
+   * @param backingOff how many want nothing from this box now
+   */
+  public void watchSignals(LongSupplier leaving, LongSupplier backingOff) {
+    GaugeWithCallback.builder()
+        .name("gradeledge_upstreams_announced_leaving")
+        .help("Upstreams that said in an answer that they leave and are still listed")
+        .callback(gauge -> gauge.call(leaving.getAsLong()))
+        .register(registry);
+    GaugeWithCallback.builder()
+        .name("gradeledge_upstreams_backing_off")
+        .help("Upstreams that turned a request away and want nothing from this box now")
+        .callback(gauge -> gauge.call(backingOff.getAsLong()))
+        .register(registry);
+  }
+
   /** Counts that the machine was suspended. */
   public void suspended() {
     suspensions.inc();
