Failing test: requests and stage work at an upstream whose answers have said that it leaves

The store is silent, one of two upstreams says in its answers that it leaves, and each of three boxes passes such an answer on.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -1,16 +1,13 @@
 package org.gradeledge.standin.fleet;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.locks.LockSupport;
 import org.gradeledge.standin.StandInHttp;
 
 /**
@@ -22,8 +19,6 @@
   /** Events of a whole stream. */
   public static final int EVENTS = 6;
 
-  private static final long SLOW_NANOS = 150_000_000;
-
   private final String id;
   private final EngineKind kind;
   private volatile ServerSocket listener;
@@ -34,6 +29,7 @@
   private final List<Integer> ranBefore = new CopyOnWriteArrayList<>(List.of(0));
   private final EngineTexts texts;
   private final EngineLimit limit = new EngineLimit();
+  private final EngineSignals signals = new EngineSignals();
   private volatile long born = System.currentTimeMillis();
   private volatile EngineFault fault = EngineFault.NONE;
   private volatile Optional<String> fatalBody = Optional.empty();
@@ -104,6 +100,11 @@
     return limit;
   }
 
+  /** Returns what it says of itself, and which requests came. */
+  public EngineSignals signals() {
+    return signals;
+  }
+
   /** Returns the number of the start that runs now, from 0. */
   public int start() {
     return ranBefore.size() - 1;
@@ -139,7 +140,7 @@
 
   private void resetAll() throws IOException {
     for (Socket socket : open) {
-      reset(socket);
+      EngineConnection.reset(socket);
     }
   }
 
@@ -176,8 +177,9 @@
   private void serve(Socket socket) {
     try (socket) {
       RequestReader reader = new RequestReader(socket.getInputStream());
+      EngineConnection caller = new EngineConnection(socket, this::withSignals);
       Optional<SeenRequest> request = reader.next();
-      while (request.isPresent() && answer(request.get(), socket)) {
+      while (request.isPresent() && answer(request.get(), caller)) {
         request = reader.next();
       }
     } catch (IOException e) {
@@ -188,40 +190,49 @@
   }
 
   /** Answers a request; returns whether the connection goes on. */
-  private boolean answer(SeenRequest request, Socket socket) throws IOException {
-    OutputStream out = socket.getOutputStream();
+  private boolean answer(SeenRequest request, EngineConnection caller) throws IOException {
     limit.requestCame();
+    Optional<String> turnedAway = signals.requestCame(request);
+    if (turnedAway.isPresent()) {
+      String refusal = "X-Not-Run: 1\r\nRetry-After: " + turnedAway.get() + "\r\n";
+      return caller.send(AnswerText.whole(request, 503, refusal, ""));
+    }
     if (fault == EngineFault.FULL) {
-      return send(out, AnswerText.whole(request, 503, "X-Not-Run: 1\r\n", ""));
+      return caller.send(AnswerText.whole(request, 503, "X-Not-Run: 1\r\n", ""));
     }
     if (fault == EngineFault.OTHER_ENGINE || !request.header("X-Expect-Instance").equals(id)) {
-      return send(out, AnswerText.whole(request, 421, "X-Instance-Id: i-other\r\n", ""));
+      return caller.send(AnswerText.whole(request, 421, "X-Instance-Id: i-other\r\n", ""));
     }
     if (request.path().equals("/stage-free")) {
       StandInHttp.parse(AnswerText.bytes(request.body()))
           .path("handles")
           .forEach(h -> give(h.asText()));
-      return send(out, AnswerText.whole(request, 200, "", "{}"));
+      return caller.send(AnswerText.whole(request, 200, "", "{}"));
     }
     ran.add(request);
     if (fatalBody.filter(request.body()::equals).isPresent()) {
       return crash();
     }
     return switch (fault) {
-      case ANSWER_LOST -> reset(socket);
-      case HANG -> hang(socket);
-      case SLOW -> slowly(request, out);
-      case ERROR -> send(out, AnswerText.whole(request, 500, "X-Response-Stamp: s\r\n", "failed"));
-      case CUT -> cut(request, socket);
-      case CUT_WITHOUT_LENGTH -> cutWithoutLength(request, socket);
+      case ANSWER_LOST -> caller.reset();
+      case HANG -> caller.hang();
+      case SLOW -> caller.sendSlowly(request);
+      case ERROR ->
+          caller.send(AnswerText.whole(request, 500, "X-Response-Stamp: s\r\n", "failed"));
+      case CUT -> caller.cut(texts.half(request));
+      case CUT_WITHOUT_LENGTH -> caller.cutByReset(AnswerText.head(request, "") + "half of an ans");
       case OTHERS_ANSWER_FIRST ->
-          send(out, AnswerText.whole("another-id", 200, "", "not yours") + texts.good(request));
+          caller.send(AnswerText.whole("another-id", 200, "", "not yours") + texts.good(request));
       case EXTRA_ANSWER ->
-          send(out, texts.good(request) + AnswerText.whole(request, 200, "", "once more"));
-      default -> send(out, texts.good(request));
+          caller.send(texts.good(request) + AnswerText.whole(request, 200, "", "once more"));
+      default -> caller.send(texts.good(request));
     };
   }
 
+  private String withSignals(String text) {
+    return signals.addTo(limit.addTo(text));
+  }
+
   private void give(String handle) {
     freed.add(handle);
     if (!handle.startsWith(address() + "/" + start() + "-")) {
@@ -229,46 +240,6 @@
     }
   }
 
-  private boolean cut(SeenRequest request, Socket socket) throws IOException {
-    send(socket.getOutputStream(), texts.half(request));
-    socket.shutdownOutput();
-    return false;
-  }
-
-  private boolean cutWithoutLength(SeenRequest request, Socket socket) throws IOException {
-    send(socket.getOutputStream(), AnswerText.head(request, "") + "half of an ans");
-    return reset(socket);
-  }
-
-  /** A connection that its caller has closed by now needs no reset. */
-  private static boolean reset(Socket socket) throws IOException {
-    try (socket) {
-      socket.setSoLinger(true, 0);
-    } catch (SocketException closed) {
-      return false;
-    }
-    return false;
-  }
-
-  private boolean slowly(SeenRequest request, OutputStream out) throws IOException {
-    send(out, AnswerText.head(request, EngineTexts.CHUNKED));
-    for (int event = 1; event <= EVENTS; event++) {
-      LockSupport.parkNanos(SLOW_NANOS);
-      send(out, AnswerText.chunk("id: " + event + "\ndata: piece " + event + "\n\n"));
-    }
-    return send(out, "0\r\n\r\n");
-  }
-
-  private static boolean hang(Socket socket) throws IOException {
-    return socket.getInputStream().read() >= 0;
-  }
-
-  private boolean send(OutputStream out, String text) throws IOException {
-    out.write(AnswerText.bytes(limit.addTo(text)));
-    out.flush();
-    return true;
-  }
-
   @Override
   public void close() throws IOException {
     listener.close();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -11,6 +11,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.gradeledge.adapter.PlatformBox;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.node.RelayBox;
@@ -155,6 +158,35 @@
     return client.send(builder.build(), HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Lets several callers do a step at the same time, and waits until all are done. */
+  void atOnce(int callers, CallerStep step) throws Exception {
+    ExecutorService threads = Executors.newFixedThreadPool(callers);
+    try {
+      List<Future<?>> running = new ArrayList<>();
+      for (int number = 0; number < callers; number++) {
+        int caller = number;
+        running.add(
+            threads.submit(
+                () -> {
+                  step.run(caller);
+                  return null;
+                }));
+      }
+      for (Future<?> each : running) {
+        each.get();
+      }
+    } finally {
+      threads.shutdownNow();
+    }
+  }
+
+  /** What one of several callers does. */
+  @FunctionalInterface
+  interface CallerStep {
+
+    void run(int caller) throws Exception;
+  }
+
   /** Repeats a step until it holds; the test's own time limit ends what never does. */
   static void await(ThrowingCondition condition) throws Exception {
     while (!condition.holds()) {
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetLeavingUpstreamTests.java
@@ -0,0 +1,101 @@
+package org.gradeledge.standin.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import org.gradeledge.standin.fleet.EngineArrival.Answer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** An upstream says in its answers that it leaves, while its entry says nothing of it. */
+@Timeout(120)
+class FleetLeavingUpstreamTests {
+
+  private static final String[] WITH_KEY = {"Authorization", "Bearer " + Fleet.KEY};
+  private static final String[] STAGED = {
+    "Authorization", "Bearer " + Fleet.KEY, "X-Pieces", "2,3", "X-Piece-Key", "pk"
+  };
+  private static final int BOXES = 3;
+  private static final int REQUESTS = 120;
+  private static final int CALLERS = 12;
+  private static final int WAVES = 10;
+
+  private final Fleet fleet = new Fleet();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  // Guards against requests at an upstream whose answers have said that it leaves (DRAIN).
+  @Test
+  @Tag("known-red")
+  void noBoxSendsMoreOnceItHasPassedOnAnAnswerThatSaysSo() throws Exception {
+    FleetEngine leaving = fleet.engine("plain", EngineKind.PLAIN);
+    fleet.engine("plain", EngineKind.PLAIN);
+    startBoxes();
+    fleet.store().setFault(StoreFault.SILENT);
+    leaving.signals().announceLeaving("1");
+    for (int box = 0; box < BOXES; box++) {
+      int asked = box;
+      Fleet.await(() -> get(asked) && hasTold(leaving, asked));
+    }
+
+    for (int number = 0; number < REQUESTS; number++) {
+      assertThat(get(number % BOXES)).isTrue();
+    }
+
+    for (int box = 0; box < BOXES; box++) {
+      assertThat(leaving.signals().cameAfter(Answer.LEAVING, path(box))).isZero();
+    }
+  }
+
+  // Guards against stage work at an upstream whose answers have said that it leaves (DRAIN).
+  @Test
+  @Tag("known-red")
+  void noStageWorkIsGivenToOneThatHasSaidSo() throws Exception {
+    fleet.engine("model", EngineKind.STREAM);
+    FleetEngine leaving = fleet.engine("stage", EngineKind.STAGE);
+    fleet.engine("stage", EngineKind.STAGE);
+    startBoxes();
+    fleet.store().setFault(StoreFault.SILENT);
+    leaving.signals().announceLeaving("1");
+    Fleet.await(
+        () -> {
+          fleet.atOnce(CALLERS, this::staged);
+          return leaving.signals().hasAnswered(Answer.LEAVING, "/stage-run");
+        });
+    long before = leaving.signals().came("/stage-run");
+
+    for (int wave = 0; wave < WAVES; wave++) {
+      fleet.atOnce(CALLERS, this::staged);
+    }
+
+    assertThat(leaving.signals().came("/stage-run")).isEqualTo(before);
+  }
+
+  private void startBoxes() throws Exception {
+    fleet.startBoxes(BOXES);
+    fleet.awaitMet();
+  }
+
+  private static boolean hasTold(FleetEngine engine, int box) {
+    return engine.signals().hasAnswered(Answer.LEAVING, path(box));
+  }
+
+  /** Requests of one box can be told from those of others by their path. */
+  private static String path(int box) {
+    return "/again/box-" + box;
+  }
+
+  private boolean get(int box) throws Exception {
+    HttpResponse<String> answer = fleet.get(box, path(box), WITH_KEY);
+    return answer.statusCode() == 200;
+  }
+
+  private void staged(int caller) throws Exception {
+    assertThat(fleet.post(caller % BOXES, "/staged/x", STAGED).statusCode()).isEqualTo(200);
+  }
+}
