Releases of results do not wait for another upstream that takes none now, nor gather without end

Where one upstream takes no release now (it names a limit, or wants no requests for a while), the releases of all others gathered for up to 100 ms in place of 8, so that room for results came back later everywhere; and what could not go was kept for as long as the upstream took none.

What goes at once and what is held off have a timer each now. What could go only after 30 s is dropped: the upstream forgets results by itself long before.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultRelease.java
@@ -30,6 +30,9 @@
   /** As long as calls wait for an upstream that names a limit: a few times a turn of it. */
   private static final long HELD_OFF_MILLIS = 100;
 
+  /** Some times longer than results are kept that nobody gives up. */
+  private static final double MOST_HELD_OFF_MILLIS = 30_000;
+
   private final EventLoop loop;
   private final UpstreamCaller caller;
   private final UpstreamRegistry upstreams;
@@ -37,8 +40,8 @@
   private final SendingRule sending;
   private final Function<String, Optional<String>> makerOf;
   private final Consumer<Collection<String>> onReleased;
-  private final Map<String, List<String>> byAddress = new HashMap<>();
-  private boolean scheduled;
+  private final Gathered fresh = new Gathered(GATHER_MILLIS);
+  private final Gathered heldOff = new Gathered(HELD_OFF_MILLIS);
 
   ResultRelease(
       EventLoop loop,
@@ -58,41 +61,46 @@
   }
 
   void release(List<String> handles) {
-    if (!handles.isEmpty()) {
-      flushAfter(GATHER_MILLIS);
-    }
-    handles.forEach(
-        handle ->
-            byAddress
-                .computeIfAbsent(protocol.addressOf(handle), address -> new ArrayList<>())
-                .add(handle));
+    handles.forEach(handle -> fresh.add(protocol.addressOf(handle), List.of(handle)));
   }
 
-  private void flushAfter(long millis) {
-    if (!scheduled) {
-      scheduled = true;
-      loop.schedule(this::flush, millis, TimeUnit.MILLISECONDS);
+  /** Handles that go together once a while has passed since the first of them came. */
+  private final class Gathered {
+
+    private final long millis;
+    private final Map<String, List<String>> byAddress = new HashMap<>();
+
+    Gathered(long millis) {
+      this.millis = millis;
+    }
+
+    void add(String address, List<String> handles) {
+      if (byAddress.isEmpty()) {
+        loop.schedule(this::flush, millis, TimeUnit.MILLISECONDS);
+      }
+      byAddress.computeIfAbsent(address, first -> new ArrayList<>()).addAll(handles);
     }
-  }
 
-  private void flush() {
-    scheduled = false;
-    Map<String, List<String>> flushed = Map.copyOf(byAddress);
-    byAddress.clear();
-    upstreams.all().stream()
-        .filter(upstream -> flushed.containsKey(upstream.address()))
-        .filter(upstream -> !upstreams.isEvacuated(upstream))
-        .toList()
-        .forEach(upstream -> release(upstream, flushed.get(upstream.address())));
+    private void flush() {
+      Map<String, List<String>> flushed = Map.copyOf(byAddress);
+      byAddress.clear();
+      upstreams.all().stream()
+          .filter(upstream -> flushed.containsKey(upstream.address()))
+          .filter(upstream -> !upstreams.isEvacuated(upstream))
+          .toList()
+          .forEach(upstream -> send(upstream, flushed.get(upstream.address())));
+    }
   }
 
-  /** A release is a request like others; one that has to wait gathers what comes meanwhile. */
-  private void release(UpstreamRecord upstream, List<String> handles) {
+  /**
+   * A release is a request like others; one that has to wait gathers what comes meanwhile. Where
+   * the upstream takes it only after a long time, it has forgotten the results by then.
+   */
+  private void send(UpstreamRecord upstream, List<String> handles) {
     if (sending.admits(upstream)) {
       call(upstream, heldBy(upstream, handles));
-    } else {
-      byAddress.computeIfAbsent(upstream.address(), address -> new ArrayList<>()).addAll(handles);
-      flushAfter(HELD_OFF_MILLIS);
+    } else if (sending.millisUntilAdmitted(upstream, 0) <= MOST_HELD_OFF_MILLIS) {
+      heldOff.add(upstream.address(), handles);
     }
   }
 
