Fix BUDGET: an upstream that turns a request away and asks for some seconds gets nothing until then

What upstreams saw: four of 13 turned everything away and asked each box for 3 s without requests; a box sent them 5 and 4 more within that time (2 allowed, from half a second on). Callers saw 33 requests in 8 s refused although nine others of the service took requests: a request visits four upstreams at most, and three of these were among them.

Cause: nobody read the seconds. A box left an upstream alone for 200 ms after a refusal, whatever it asked for; what one request learned the next one did not know.

Why it works: UpstreamBackoffs is one more rule of those that are asked before each send, by first tries, retries, streams that are resumed, calls for stage work and releases. Calls that still dial to such an upstream fail unsent and go elsewhere, as a dial may outlast the half second.

Where all of a service want nothing, a request waits if the first end comes within half of the time for its first answer, and is refused at once otherwise, before stage work, with the time until that end; so is one that all upstreams turned away. Two places that took a rate of zero or no rate for "now" do not any more: the time until an upstream takes a request (0 * infinity, which had made a request wait until its time was up) and the forecast of stage work.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -92,9 +92,15 @@
 
   /**
    * Returns how many upstreams without limits make as much as these: one that takes fewer calls
-   * than it could make counts for a part.
+   * than it could make counts for a part. Where none takes any now, all count, as the wait for the
+   * first of them is counted besides.
    */
   private double wholeUpstreams(List<BatchUpstream> known, BatchLimits limits) {
+    double whole = wholeNow(known, limits);
+    return whole > 0 ? whole : known.size();
+  }
+
+  private double wholeNow(List<BatchUpstream> known, BatchLimits limits) {
     return known.stream()
         .mapToDouble(
             each -> {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallFailure.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallFailure.java
@@ -12,6 +12,8 @@
   NOT_CONNECTED(false),
   /** The upstream has ended since it was chosen; nothing was sent. */
   ENDED(false),
+  /** The upstream has asked for no requests for a while since it was chosen; nothing was sent. */
+  HELD_OFF(false),
   /** The connection ended after the request was written. */
   BROKEN(true),
   /** The upstream sent bytes that are no answer. */
@@ -25,7 +27,7 @@
 
   /** Returns whether it speaks against the upstream's health. */
   public boolean blamesUpstream() {
-    return this != NO_CONNECTION_FREE && this != ENDED;
+    return this != NO_CONNECTION_FREE && this != ENDED && this != HELD_OFF;
   }
 
   /** Returns whether the upstream may have got the request. */
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -88,7 +88,13 @@
 
   @Override
   public void end(UpstreamRecord target) {
-    retire(target).ifPresent(UpstreamConnections::failDialling);
+    retire(target).ifPresent(connections -> connections.failDialling(CallFailure.ENDED));
+  }
+
+  @Override
+  public void holdOff(UpstreamRecord target) {
+    Optional.ofNullable(byUpstream.get(target.start()))
+        .ifPresent(connections -> connections.failDialling(CallFailure.HELD_OFF));
   }
 
   private Optional<UpstreamConnections> retire(UpstreamRecord target) {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamCaller.java
@@ -26,6 +26,12 @@
    */
   void end(UpstreamRecord target);
 
+  /**
+   * Sends an upstream nothing that still waits for a connection, as it wants nothing for a while:
+   * such calls fail with {@link CallFailure#HELD_OFF}.
+   */
+  void holdOff(UpstreamRecord target);
+
   /**
    * Breaks off all calls to a start of an upstream, as another one has begun under its id: they are
    * lost, and a connection whose other end is no more may stay silent.
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnections.java
@@ -44,8 +44,8 @@
    * Fails the calls that were not sent yet: a dial may take as long as a third of the bound within
    * which an upstream that leaves must get nothing new.
    */
-  void failDialling() {
-    List.copyOf(dialling).forEach(call -> call.giveUp(CallFailure.ENDED));
+  void failDialling(CallFailure failure) {
+    List.copyOf(dialling).forEach(call -> call.giveUp(failure));
   }
 
   void closed(UpstreamConnection connection) {
--- a/gradeledge-core/src/main/java/org/gradeledge/limit/SendingRule.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/SendingRule.java
@@ -26,7 +26,10 @@
    */
   double millisUntilAdmitted(UpstreamRecord upstream, double sentBefore);
 
-  /** Returns how many requests a second this box may send to an upstream in the long run. */
+  /**
+   * Returns how many requests a second this box may send to an upstream; zero where that is nothing
+   * for now, even if it is more later.
+   */
   double perSecond(UpstreamRecord upstream);
 
   /** Returns the rule that holds back whatever one of several does: the smaller rate. */
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -105,7 +105,7 @@
             .calls(caller, adapters.stages())
             .beliefs(board, budget, events)
             .toCome(toCome)
-            .sending(limited)
+            .sending(SendingRule.allOf(limited, sending.backoffs()))
             .build();
     StageWorkClient stageWork = mesh.stageWork(coordinator);
     RelayServices services =
@@ -117,7 +117,7 @@
             upstreams,
             board,
             newChooser(board),
-            SendingRule.allOf(sending.cold(this::boxes), limited),
+            SendingRule.allOf(sending.cold(this::boxes), limited, sending.backoffs()),
             budget,
             caller,
             new UpstreamEnds(caller, upstreams::hasLeft),
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
@@ -53,7 +53,7 @@
   /** Shows what upstreams say of themselves. */
   void show(RelayMetrics metrics, LimitedSending limited) {
     metrics.watchLimits(limits::count, limited::heldOff);
-    metrics.watchSignals(upstreams::announcedLeaving, backoffs::count);
+    metrics.watchSignals(upstreams::announcedLeaving, backoffs::count, backoffs::heldOff);
   }
 
   /** Reads what all answers say of their upstreams, and has the mesh tell what is new at once. */
@@ -70,6 +70,8 @@
           }
         });
     limits.onNews(mesh::tellNow);
+    backoffs.onBegin(caller::holdOff);
+    upstreams.onEnd(backoffs::forget);
   }
 
   private void leaving(UpstreamRecord upstream, LeavingStatement statement) {
@@ -81,6 +83,11 @@
     }
   }
 
+  /** Returns the rule of upstreams that want nothing from this box for a while. */
+  SendingRule backoffs() {
+    return backoffs;
+  }
+
   /** Returns the rule of limits that upstreams name, for all requests. */
   LimitedSending limited(BoxMesh mesh) {
     return new LimitedSending(
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/DispatchTurn.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/DispatchTurn.java
@@ -72,6 +72,16 @@
     return waits;
   }
 
+  /**
+   * Notes when asking again may help, where the request ends as all that were asked are full: not
+   * before one of the service takes any request of this box.
+   */
+  void noteComeBack(Refusal refusal) {
+    if (refusal == Refusal.UPSTREAMS_FULL) {
+      candidates.millisUntilAny().ifPresent(millis -> outcome.comeBackAfter((long) millis));
+    }
+  }
+
   private boolean isLongerThan(double mostMillis) {
     OptionalDouble wait = candidates.millisUntilNext(queue.ahead(place));
     if (wait.isEmpty() || wait.getAsDouble() <= mostMillis) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -30,10 +30,9 @@
   private final RequestStanding standing;
   private final ExchangeTimers timers;
   private final DispatchTurn turn;
+  private final PassedOnStream stream;
   private final Consumer<RelayExchange> onOver;
   private @Nullable Attempt attempt;
-  private Optional<String> passedOn;
-  private boolean streaming;
 
   RelayExchange(ExchangeParts parts, Consumer<RelayExchange> onOver) {
     AdmittedRequest admitted = parts.admitted();
@@ -48,7 +47,7 @@
     this.outcome = parts.outcome();
     this.plan = parts.plan();
     this.onOver = onOver;
-    this.passedOn = request.resumeAfter();
+    this.stream = new PassedOnStream(request.resumeAfter());
   }
 
   /** A request that is held back is refused before anything is done for it. */
@@ -124,7 +123,8 @@
     attempt = next;
     outcome.sent(upstream, history.sent());
     standing.sent();
-    next.started(services.caller().call(upstream, parts.outgoing(upstream, passedOn), next));
+    next.started(
+        services.caller().call(upstream, parts.outgoing(upstream, stream.lastEventId()), next));
     watch(next);
   }
 
@@ -221,7 +221,7 @@
       dispatch();
       return;
     }
-    if (streaming) {
+    if (stream.hasBegun()) {
       body.release();
       giveUp(Refusal.BROKEN, "status " + status + " in place of the rest of a stream");
     } else {
@@ -232,12 +232,11 @@
 
   @Override
   public void events(StreamAttempt source, ByteBuf events) {
-    if (!streaming) {
-      streaming = true;
+    if (stream.begin()) {
       plan.freeAll();
       outcome.beginStream(source.status(), source.headers());
     }
-    passedOn = source.lastEventId().or(() -> passedOn);
+    stream.passedOn(source.lastEventId());
     outcome.part(events);
   }
 
@@ -262,12 +261,13 @@
 
   /** Ends the request; where an attempt may have run, that is what the caller is told. */
   private void giveUp(Refusal refusal, String why) {
+    turn.noteComeBack(refusal);
     finish(history.maybeRan() && refusal.notRun() ? Refusal.BROKEN : refusal, why);
   }
 
   private void finish(Refusal refusal, String why) {
     release();
-    outcome.refuse(refusal, why, streaming);
+    outcome.refuse(refusal, why, stream.hasBegun());
   }
 
   private void release() {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -94,8 +94,9 @@
    *
    * @param leaving how many have said that they leave and are still listed
    * @param backingOff how many want nothing from this box now
+   * @param heldOff how often one was passed over so far, as it wants nothing for a while
    */
-  public void watchSignals(LongSupplier leaving, LongSupplier backingOff) {
+  public void watchSignals(LongSupplier leaving, LongSupplier backingOff, LongSupplier heldOff) {
     GaugeWithCallback.builder()
         .name("gradeledge_upstreams_announced_leaving")
         .help("Upstreams that said in an answer that they leave and are still listed")
@@ -106,6 +107,11 @@
         .help("Upstreams that turned a request away and want nothing from this box now")
         .callback(gauge -> gauge.call(backingOff.getAsLong()))
         .register(registry);
+    CounterWithCallback.builder()
+        .name("gradeledge_upstreams_backoff_held_off_total")
+        .help("Times that an upstream was passed over, as it wants nothing for a while")
+        .callback(counter -> counter.call(heldOff.getAsLong()))
+        .register(registry);
   }
 
   /** Counts that the machine was suspended. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -75,12 +75,22 @@
       return OptionalDouble.of(0);
     }
     return left.stream()
-        .mapToDouble(
-            each -> sending.millisUntilAdmitted(each, ahead * sending.perSecond(each) / rate))
-        .filter(millis -> !Double.isNaN(millis))
+        .mapToDouble(each -> sending.millisUntilAdmitted(each, ahead * part(each, rate, left)))
         .min();
   }
 
+  /** Returns after how many milliseconds one takes a request, those that were tried included. */
+  OptionalDouble millisUntilAny() {
+    return services.upstreams().usable(service).stream()
+        .mapToDouble(each -> services.sending().millisUntilAdmitted(each, 0))
+        .min();
+  }
+
+  /** Where none takes any now, those that are before share the upstreams evenly later. */
+  private double part(UpstreamRecord upstream, double rate, List<UpstreamRecord> all) {
+    return rate > 0 ? services.sending().perSecond(upstream) / rate : 1.0 / all.size();
+  }
+
   /** Returns why there is no candidate. */
   Refusal whyNone() {
     if (services.upstreams().usable(service).isEmpty()) {
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/LimitedBatchUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/LimitedBatchUpstreamTests.java
@@ -5,9 +5,11 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
@@ -32,6 +34,8 @@
 
     private final Map<String, Integer> left = new HashMap<>();
     private double perSecond = Double.POSITIVE_INFINITY;
+    private double wait = 500;
+    private final Set<String> nothingNow = new HashSet<>();
 
     @Override
     public boolean admits(UpstreamRecord upstream) {
@@ -45,12 +49,12 @@
 
     @Override
     public double millisUntilAdmitted(UpstreamRecord upstream, double sentBefore) {
-      return admits(upstream) ? 0 : 500;
+      return admits(upstream) ? 0 : wait;
     }
 
     @Override
     public double perSecond(UpstreamRecord upstream) {
-      return perSecond;
+      return nothingNow.contains(upstream.id()) ? 0 : perSecond;
     }
   }
 
@@ -119,6 +123,50 @@
     assertThat(rule.left).containsEntry(FIRST.id(), 0);
   }
 
+  // Guards against results of other upstreams that take room for longer as one takes no releases.
+  @Test
+  void releasesToOthersDoNotWaitForOneThatTakesNoneNow() throws Exception {
+    upstreams.replaceAll(1, List.of(FIRST, SECOND));
+    rule.left.put(FIRST.id(), 0);
+    coordinator.free(List.of("10.0.0.1:1/x"));
+    pass(20);
+
+    coordinator.free(List.of("10.0.0.1:2/y"));
+    pass(10);
+
+    assertThat(caller.next().target()).isEqualTo(SECOND);
+  }
+
+  // Guards against releases that gather without end for one that takes none for a long time.
+  @Test
+  void releasesAreDroppedWhereTheResultsAreForgottenBeforeTheyCouldGo() {
+    upstreams.replaceAll(1, List.of(FIRST));
+    rule.left.put(FIRST.id(), 0);
+    rule.wait = 60_000;
+    coordinator.free(List.of("10.0.0.1:1/x"));
+    pass(150);
+
+    rule.left.put(FIRST.id(), 1);
+    pass(150);
+
+    assertThat(caller.isQuiet()).isTrue();
+  }
+
+  @Test
+  void oneThatTakesNothingNowIsNoPartOfTheForecastWhileAnotherTakesCalls() {
+    upstreams.replaceAll(1, List.of(FIRST, SECOND));
+    coordinator.submit(StageGroups.group("a", 40), result -> {});
+    long both = coordinator.backlogMillisOf("service", 9);
+
+    rule.nothingNow.add(FIRST.id());
+    long one = coordinator.backlogMillisOf("service", 9);
+    rule.nothingNow.add(SECOND.id());
+    long none = coordinator.backlogMillisOf("service", 9);
+
+    assertThat(one).isGreaterThan(both * 3 / 2);
+    assertThat(none).isLessThan(both + 1_000);
+  }
+
   @Test
   void whatWaitsForLimitedUpstreamsKeepsThemBusyForLonger() {
     upstreams.replaceAll(1, List.of(FIRST, SECOND));
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -94,6 +94,10 @@
   @Override
   public void end(UpstreamRecord target) {}
 
+  /** Does nothing, as there are no connections. */
+  @Override
+  public void holdOff(UpstreamRecord target) {}
+
   /** Does nothing, as there are no connections. */
   @Override
   public void breakOff(UpstreamRecord target) {}
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/PooledUpstreamCallerTests.java
@@ -159,6 +159,21 @@
     assertThat(received).containsExactly("/next");
   }
 
+  // Guards against a request that arrives, after a long dial, within a time without requests.
+  @Test
+  void whatStillDialsIsNotSentToAnUpstreamThatWantsNothingForAWhile() throws Exception {
+    loop.submit(
+            () -> {
+              caller.call(upstream(), request("/late", ConnectionReuse.ANY), new Recorder());
+              caller.holdOff(upstream());
+            })
+        .sync();
+
+    assertThat(outcomes.poll(20, TimeUnit.SECONDS)).isEqualTo(CallFailure.HELD_OFF.name());
+    assertThat(call("/next", ConnectionReuse.ANY)).isEqualTo("ok");
+    assertThat(received).containsExactly("/next");
+  }
+
   @Test
   void whatWasSentToAnUpstreamThatHasEndedGoesOn() throws Exception {
     start("/never", ConnectionReuse.ANY);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetBackoffTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetBackoffTests.java
@@ -5,7 +5,6 @@
 import java.net.http.HttpResponse;
 import org.gradeledge.standin.fleet.EngineArrival.Answer;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -40,7 +39,6 @@
 
   // Guards against requests at an upstream within the time for which it wants none (BUDGET).
   @Test
-  @Tag("known-red")
   void noBoxSendsMoreWithinTheTimeThatItWasTold() throws Exception {
     FleetEngine busy = fleet.engine("plain", EngineKind.PLAIN);
     fleet.engine("plain", EngineKind.PLAIN);
@@ -59,7 +57,6 @@
 
   // Guards against stage work at an upstream within the time for which it wants none (BUDGET).
   @Test
-  @Tag("known-red")
   void noStageWorkIsGivenToOneWithinThatTime() throws Exception {
     fleet.engine("model", EngineKind.STREAM);
     FleetEngine busy = fleet.engine("stage", EngineKind.STAGE);
