An upstream's own word that it leaves is told to all other boxes with the next heartbeat

A box heeds what an upstream says in its own answers. Others go on sending there until they hear it themselves; what they send last is cut or refused when the upstream ends, and a box that has just started knows nothing.

Ways: each box by its own answers alone; told at once and in each heartbeat (kept): one more field, a byte as long as no upstream has said so, about 25 bytes an upstream otherwise. Each box tells only what it has heard itself, so that no word goes round between boxes; it stops once the list says it or the entry has gone.

LeavingAmongBoxesTests: 3 and 18 boxes, and a box that starts later. MeshFormatsTests reads heartbeats of older boxes as before; its header is that of a longer array now.

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/DepartedUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/DepartedUpstreams.java
@@ -1,7 +1,9 @@
 package org.gradeledge.discovery;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Starts of upstreams that have once said that they leave, or were seen to be gone: an older report
@@ -14,6 +16,7 @@
   private static final int KEPT = 4096;
 
   private final Map<String, Long> newestBirthById = new LinkedHashMap<>();
+  private final Set<String> starts = new LinkedHashSet<>();
 
   void remember(UpstreamRecord upstream) {
     newestBirthById.merge(upstream.id(), upstream.born(), Math::max);
@@ -22,9 +25,18 @@
     }
   }
 
+  /** Remembers a start by its name alone, as another box tells it; returns whether it was new. */
+  boolean rememberStart(String start) {
+    boolean added = starts.add(start);
+    if (starts.size() > KEPT) {
+      starts.remove(starts.iterator().next());
+    }
+    return added;
+  }
+
   /** Returns whether a start has departed, or one after it. */
   boolean contains(UpstreamRecord upstream) {
     Long newest = newestBirthById.get(upstream.id());
-    return newest != null && upstream.born() <= newest;
+    return newest != null && upstream.born() <= newest || starts.contains(upstream.start());
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/KnownUpstreams.java
@@ -1,6 +1,5 @@
 package org.gradeledge.discovery;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,8 +10,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * By id the newest start of each upstream, and what a report about one changes. What has ended is
- * gathered for whoever must be told once a change is over. Confined to the event loop.
+ * By id the newest start of each upstream, and what a report about one changes. Confined to the
+ * event loop.
  */
 final class KnownUpstreams {
 
@@ -22,9 +21,7 @@
   private final ReturnedUpstreams returned = new ReturnedUpstreams();
   private final Set<String> lapsed = new HashSet<>();
   private final Set<String> announced = new HashSet<>();
-  private final List<UpstreamRecord> ended = new ArrayList<>();
-  private final List<UpstreamRecord> replaced = new ArrayList<>();
-  private final List<UpstreamRecord> cold = new ArrayList<>();
+  private final UpstreamNotices notices = new UpstreamNotices();
   private boolean sourceAway;
   private boolean doubtTold;
   private long revision = -1;
@@ -79,14 +76,16 @@
   void put(UpstreamRecord upstream) {
     returned.written(upstream.id());
     UpstreamRecord before = byId.get(upstream.id());
-    boolean older = before != null && upstream.born() < before.born();
-    if (older || hasLeft(upstream, before) && !upstream.leaving()) {
+    if (before != null && upstream.born() < before.born()) {
       return;
     }
     if (before != null && before.born() < upstream.born()) {
       replace(before);
       before = null;
     }
+    if (hasLeft(upstream, before) && !upstream.leaving()) {
+      return;
+    }
     take(upstream, before);
   }
 
@@ -101,9 +100,9 @@
     departed.remember(before);
     byId.remove(before.id());
     if (!before.leaving()) {
-      ended.add(before);
+      notices.ended(before);
     }
-    replaced.add(before);
+    notices.replaced(before);
   }
 
   private void take(UpstreamRecord upstream, @Nullable UpstreamRecord before) {
@@ -114,15 +113,18 @@
       changedAt = revision;
     }
     if (upstream.coldMillis() > 0) {
-      cold.add(upstream);
+      notices.cold(upstream);
     }
     if (before == null) {
       write("upstream-listed", upstream);
     }
+    if (upstream.leaving()) {
+      announced.remove(upstream.start());
+    }
     if (upstream.leaving() && (before == null || !before.leaving())) {
       departed.remember(upstream);
       write("upstream-leaving", upstream);
-      ended.add(upstream);
+      notices.ended(upstream);
     }
   }
 
@@ -190,23 +192,43 @@
    * Takes a start's own word in an answer that it leaves. It is final: what the list says later of
    * this start may be older, as the start cannot write there while the list's source is away. One
    * whose entry has gone may be listed again too.
+   *
+   * @return whether it takes no new work from now on
    */
-  void announceLeaving(UpstreamRecord upstream) {
+  boolean announceLeaving(UpstreamRecord upstream) {
     departed.remember(upstream);
-    find(upstream).filter(known -> !known.leaving()).ifPresent(this::leave);
+    Optional<UpstreamRecord> known = find(upstream).filter(each -> !each.leaving());
+    known.ifPresent(each -> announced.add(each.start()));
+    known.ifPresent(each -> leave(each, "answer"));
+    return known.isPresent();
   }
 
-  private void leave(UpstreamRecord known) {
-    write("upstream-announces-leaving", known);
-    announced.add(known.start());
+  /** Takes in that starts have said so to another box; returns whether any of it is new. */
+  boolean toldLeaving(String box, Collection<String> starts) {
+    List<String> fresh = starts.stream().filter(departed::rememberStart).toList();
+    List<UpstreamRecord> told =
+        byId.values().stream()
+            .filter(each -> !each.leaving() && fresh.contains(each.start()))
+            .toList();
+    told.forEach(each -> leave(each, box));
+    return !told.isEmpty();
+  }
+
+  private void leave(UpstreamRecord known, String from) {
+    log.writeAnnounced(known, from);
     byId.put(known.id(), known.asLeaving());
-    ended.add(known);
+    notices.ended(known);
   }
 
-  /** Returns how many have said in an answer that they leave and are still listed. */
-  long announcedLeaving() {
-    announced.retainAll(byId.values().stream().map(UpstreamRecord::start).toList());
-    return announced.size();
+  /**
+   * Returns the starts that have said so to this box and are still listed; the list does not say it
+   * of them yet.
+   */
+  List<String> announcedLeaving() {
+    if (!announced.isEmpty()) {
+      announced.retainAll(byId.values().stream().map(UpstreamRecord::start).toList());
+    }
+    return List.copyOf(announced);
   }
 
   /** Ends a start whose entry has vanished, until it is listed again. */
@@ -226,7 +248,7 @@
     if (before != null && !before.leaving()) {
       write("upstream-gone", before);
       returned.gone(before);
-      ended.add(before);
+      notices.ended(before);
     }
   }
 
@@ -234,24 +256,8 @@
     log.write(what, upstream, revision);
   }
 
-  /** Returns what takes no new work any more since this was asked last. */
-  List<UpstreamRecord> takeEnded() {
-    return take(ended);
-  }
-
-  /** Returns the starts after which another has begun since this was asked last. */
-  List<UpstreamRecord> takeReplaced() {
-    return take(replaced);
-  }
-
-  /** Returns the reports that an upstream is cold since this was asked last. */
-  List<UpstreamRecord> takeCold() {
-    return take(cold);
-  }
-
-  private static List<UpstreamRecord> take(List<UpstreamRecord> gathered) {
-    List<UpstreamRecord> taken = List.copyOf(gathered);
-    gathered.clear();
-    return taken;
+  /** Returns what is to be told once the change is over. */
+  UpstreamNotices notices() {
+    return notices;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamChangeLog.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamChangeLog.java
@@ -23,6 +23,17 @@
         .write();
   }
 
+  /** Writes that an upstream has said that it leaves, in an answer or to another box. */
+  void writeAnnounced(UpstreamRecord upstream, String from) {
+    events
+        .change("upstream-announces-leaving")
+        .with("upstream", upstream.id())
+        .with("born", upstream.born())
+        .with("service", upstream.service())
+        .with("from", from)
+        .write();
+  }
+
   void listenerFailed(RuntimeException failure) {
     events.problem("upstream-listener-failed").with("why", String.valueOf(failure)).write();
   }
--- /dev/null
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamNotices.java
@@ -0,0 +1,48 @@
+package org.gradeledge.discovery;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What is to be told of upstreams once a change of the list is over. Each is taken once. Confined
+ * to the event loop.
+ */
+final class UpstreamNotices {
+
+  private final List<UpstreamRecord> ended = new ArrayList<>();
+  private final List<UpstreamRecord> replaced = new ArrayList<>();
+  private final List<UpstreamRecord> cold = new ArrayList<>();
+
+  /** Notes one that takes no new work any more. */
+  void ended(UpstreamRecord upstream) {
+    ended.add(upstream);
+  }
+
+  /** Notes a start after which another has begun. */
+  void replaced(UpstreamRecord upstream) {
+    replaced.add(upstream);
+  }
+
+  /** Notes a report that one is cold. */
+  void cold(UpstreamRecord upstream) {
+    cold.add(upstream);
+  }
+
+  List<UpstreamRecord> takeEnded() {
+    return take(ended);
+  }
+
+  List<UpstreamRecord> takeReplaced() {
+    return take(replaced);
+  }
+
+  List<UpstreamRecord> takeCold() {
+    return take(cold);
+  }
+
+  private static List<UpstreamRecord> take(List<UpstreamRecord> gathered) {
+    List<UpstreamRecord> taken = List.copyOf(gathered);
+    gathered.clear();
+    return taken;
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRegistry.java
@@ -1,7 +1,6 @@
 package org.gradeledge.discovery;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -22,16 +21,17 @@
  */
 public final class UpstreamRegistry {
 
-  private final UpstreamChangeLog changes;
+  private final EvacuatedZones evacuated;
   private final UpstreamListeners listeners;
   private final KnownUpstreams known;
   private final UpstreamIndex index = new UpstreamIndex();
+  private Runnable onAnnounced = () -> {};
   private Supplier<ListTrust> trust = () -> ListTrust.UNKNOWN;
-  private ZoneEvacuations evacuations = ZoneEvacuations.UNKNOWN;
 
   /** Creates an empty registry. */
   public UpstreamRegistry(EventLog events) {
-    this.changes = new UpstreamChangeLog(events);
+    UpstreamChangeLog changes = new UpstreamChangeLog(events);
+    this.evacuated = new EvacuatedZones(changes);
     this.listeners = new UpstreamListeners(changes);
     this.known = new KnownUpstreams(changes);
   }
@@ -63,7 +63,7 @@
 
   /** Returns the zones that take no new work. */
   public ZoneEvacuations evacuations() {
-    return evacuations;
+    return evacuated.held();
   }
 
   /**
@@ -73,20 +73,13 @@
    * @return whether the zones are others than before
    */
   public boolean evacuate(ZoneEvacuations told) {
-    if (!told.isNewerThan(evacuations)) {
-      return false;
-    }
-    Set<String> before = evacuations.zones();
-    evacuations = told;
-    if (told.zones().equals(before)) {
-      return false;
-    }
-    rebuild();
-    changes.writeZones(told, before);
-    Set<String> restored = new HashSet<>(before);
-    restored.removeAll(told.zones());
-    listeners.tellZones(restored);
-    return true;
+    Optional<Set<String>> restored = evacuated.take(told);
+    restored.ifPresent(
+        zones -> {
+          rebuild();
+          listeners.tellZones(zones);
+        });
+    return restored.isPresent();
   }
 
   /** Returns the revision of the list that the registry stands at, -1 at the start. */
@@ -137,7 +130,7 @@
    * Returns whether the zone of an upstream is evacuated, so that nothing new may be sent to it.
    */
   public boolean isEvacuated(UpstreamRecord upstream) {
-    return evacuations.zones().contains(upstream.zone());
+    return evacuated.contains(upstream);
   }
 
   /** Returns the upstream that has an address. */
@@ -222,12 +215,34 @@
    * whatever the list says of it.
    */
   public void announcesLeaving(UpstreamRecord upstream) {
-    known.announceLeaving(upstream);
-    conclude();
+    if (known.announceLeaving(upstream)) {
+      conclude();
+      onAnnounced.run();
+    }
+  }
+
+  /** Runs an action whenever an upstream has said to this box that it leaves, and that is news. */
+  public void onAnnounced(Runnable action) {
+    onAnnounced = action;
   }
 
-  /** Returns how many upstreams have said in an answer that they leave and are still listed. */
-  public long announcedLeaving() {
+  /**
+   * Takes in the starts that have said to another box that they leave; returns whether any of it is
+   * news.
+   */
+  public boolean toldLeaving(String box, Collection<String> starts) {
+    boolean news = !starts.isEmpty() && known.toldLeaving(box, starts);
+    if (news) {
+      conclude();
+    }
+    return news;
+  }
+
+  /**
+   * Returns the starts that have said to this box that they leave, as long as they are listed and
+   * the list does not say so.
+   */
+  public List<String> leavingAsTheySaid() {
     return known.announcedLeaving();
   }
 
@@ -248,9 +263,9 @@
    */
   private void conclude() {
     rebuild();
-    known.takeCold().forEach(listeners::tellCold);
-    known.takeEnded().forEach(listeners::tellEnd);
-    known.takeReplaced().forEach(listeners::tellReplaced);
+    known.notices().takeCold().forEach(listeners::tellCold);
+    known.notices().takeEnded().forEach(listeners::tellEnd);
+    known.notices().takeReplaced().forEach(listeners::tellReplaced);
   }
 
   private void rebuild() {
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxBeliefs.java
@@ -51,7 +51,8 @@
         quarantine.digest(),
         upstreams.trust().code(),
         number,
-        limits.reports());
+        limits.reports(),
+        upstreams.leavingAsTheySaid());
   }
 
   /** Forgets what a box told of itself, as it is lost. */
@@ -62,12 +63,13 @@
 
   /**
    * Takes in what a box tells; returns whether that orders the evacuation of other zones than
-   * before, or tells of a limit that was not known.
+   * before, or tells of a limit or of an upstream that leaves which was not known.
    */
   boolean heard(String box, Heartbeat beat, long ageMillis) {
     board.setPeerShares(box, beat.shares());
     toCome.told(box, beat.piecesToCome());
     boolean limited = limits.told(box, beat.limits(), ageMillis);
-    return upstreams.evacuate(beat.evacuations()) || limited;
+    boolean leaving = upstreams.toldLeaving(box, beat.leavingUpstreams());
+    return upstreams.evacuate(beat.evacuations()) || limited || leaving;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/Heartbeat.java
@@ -27,6 +27,8 @@
  *     of upstreams
  * @param number rises with each heartbeat of a box, also over its lives; 0 from older boxes
  * @param limits limits that upstreams named to it or to others that told it
+ * @param leavingUpstreams starts of upstreams that told it in an answer that they leave, while the
+ *     list does not say so
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record Heartbeat(
@@ -44,7 +46,8 @@
     long suspects,
     int listTrust,
     long number,
-    List<LimitReport> limits) {
+    List<LimitReport> limits,
+    List<String> leavingUpstreams) {
 
   /** Returns whether the box knows so few others that it tells all of them what it hears. */
   boolean isOfFew() {
@@ -68,7 +71,8 @@
         suspects,
         listTrust,
         number,
-        limits);
+        limits,
+        leavingUpstreams);
   }
 
   /** Returns the same, to be passed on. */
@@ -88,6 +92,7 @@
         suspects,
         listTrust,
         number,
-        limits);
+        limits,
+        leavingUpstreams);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/HeartbeatFormat.java
@@ -14,9 +14,9 @@
 /** Heartbeats, as arrays. */
 final class HeartbeatFormat implements MessageFormat<Heartbeat> {
 
-  private static final int FIELDS = 15;
+  private static final int FIELDS = 16;
 
-  /** Fields that all older boxes send; some know of no evacuations, suspects, doubts or limits. */
+  /** Fields that all older boxes send; they may know of none of those after them. */
   private static final int FIRST_FIELDS = 10;
 
   private static final long NO_SUSPECTS = 0;
@@ -48,6 +48,7 @@
     packer.packInt(beat.listTrust());
     packer.packLong(beat.number());
     LimitReportFormat.writeAll(packer, beat.limits());
+    TextLists.write(packer, beat.leavingUpstreams());
   }
 
   private static void write(MessagePacker packer, ZoneEvacuations evacuations) throws IOException {
@@ -87,8 +88,9 @@
             more > 1 ? reader.number() : NO_SUSPECTS,
             more > 2 ? reader.integer() : ListTrust.UNKNOWN.code(),
             more > 3 ? reader.number() : NO_NUMBER,
-            more > 4 ? reader.list(LimitReportFormat::read) : List.of());
-    reader.skip(Math.max(0, more - 5));
+            more > 4 ? reader.list(LimitReportFormat::read) : List.of(),
+            more > 5 ? reader.list(MessageReader::text) : List.of());
+    reader.skip(Math.max(0, more - 6));
     return beat;
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
@@ -53,7 +53,8 @@
   /** Shows what upstreams say of themselves. */
   void show(RelayMetrics metrics, LimitedSending limited) {
     metrics.watchLimits(limits::count, limited::heldOff);
-    metrics.watchSignals(upstreams::announcedLeaving, backoffs::count, backoffs::heldOff);
+    metrics.watchSignals(
+        () -> upstreams.leavingAsTheySaid().size(), backoffs::count, backoffs::heldOff);
   }
 
   /** Reads what all answers say of their upstreams, and has the mesh tell what is new at once. */
@@ -70,6 +71,7 @@
           }
         });
     limits.onNews(mesh::tellNow);
+    upstreams.onAnnounced(mesh::tellNow);
     backoffs.onBegin(caller::holdOff);
     upstreams.onEnd(backoffs::forget);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -92,14 +92,14 @@
   /**
    * Shows what upstreams say of themselves in their answers.
    *
-   * @param leaving how many have said that they leave and are still listed
+   * @param leaving how many have said so to this box, are still listed, and not as leaving
    * @param backingOff how many want nothing from this box now
    * @param heldOff how often one was passed over so far, as it wants nothing for a while
    */
   public void watchSignals(LongSupplier leaving, LongSupplier backingOff, LongSupplier heldOff) {
     GaugeWithCallback.builder()
         .name("gradeledge_upstreams_announced_leaving")
-        .help("Upstreams that said in an answer that they leave and are still listed")
+        .help("Upstreams that told this box that they leave while the list does not say so")
         .callback(gauge -> gauge.call(leaving.getAsLong()))
         .register(registry);
     GaugeWithCallback.builder()
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/AnnouncedLeavingTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/AnnouncedLeavingTests.java
@@ -33,7 +33,7 @@
     assertThat(registry.isUsable(start(10))).isFalse();
     assertThat(registry.hasLeft(start(10))).isTrue();
     assertThat(ended).containsExactly(start(10).start());
-    assertThat(registry.announcedLeaving()).isEqualTo(1);
+    assertThat(registry.leavingAsTheySaid()).containsExactly(start(10).start());
   }
 
   @Test
@@ -95,7 +95,7 @@
     registry.announcesLeaving(start(10));
 
     assertThat(registry.usable("service")).contains(start(20));
-    assertThat(registry.announcedLeaving()).isZero();
+    assertThat(registry.leavingAsTheySaid()).isEmpty();
   }
 
   @Test
@@ -105,6 +105,34 @@
     assertThat(registry.atAddress(start(10).address())).isPresent();
   }
 
+  @Test
+  void whatItSaidToAnotherBoxCountsTheSameAndIsNotHandedOnAsHeardHere() {
+    assertThat(registry.toldLeaving("box", List.of(start(10).start(), "unknown"))).isTrue();
+    assertThat(registry.toldLeaving("box", List.of(start(10).start(), "unknown"))).isFalse();
+
+    assertThat(registry.usable("service")).containsExactly(other());
+    assertThat(ended).containsExactly(start(10).start());
+    assertThat(registry.leavingAsTheySaid()).isEmpty();
+  }
+
+  @Test
+  void whatWasToldOfOneThatIsNotListedYetCountsOnceItIs() {
+    registry.toldLeaving("box", List.of(start(20).start()));
+
+    registry.update(2, List.of(start(20)), List.of());
+
+    assertThat(registry.usable("service")).containsExactly(other());
+  }
+
+  @Test
+  void onceTheListSaysItItIsNotToldAnyMore() {
+    registry.announcesLeaving(start(10));
+    registry.update(2, List.of(start(10).asLeaving()), List.of());
+
+    assertThat(registry.leavingAsTheySaid()).isEmpty();
+    assertThat(ended).containsExactly(start(10).start());
+  }
+
   /**
    * Steps in any order: readings of the list, entries that go and come, outages, older copies, new
    * starts, answers. What has said that it leaves is never used again, and what has not, nor was
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/Heartbeats.java
@@ -34,6 +34,7 @@
         0,
         0,
         number,
+        List.of(),
         List.of());
   }
 }
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/LeavingAmongBoxesTests.java
@@ -0,0 +1,90 @@
+package org.gradeledge.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.discovery.UpstreamRegistry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** One box hears from an upstream that it leaves, and the list says nothing of it. */
+@Timeout(120)
+class LeavingAmongBoxesTests {
+
+  private static final UpstreamRecord UPSTREAM =
+      new UpstreamRecord("id", 10, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+  private static final UpstreamRecord NEXT_START =
+      new UpstreamRecord("id", 20, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+  private static final int FEW = 3;
+  private static final int MANY = 18;
+
+  private final BoxesInOneProcess boxes = new BoxesInOneProcess();
+
+  @AfterEach
+  void stop() {
+    boxes.close();
+  }
+
+  // Guards against requests at an upstream that another box has heard from that it leaves.
+  @ParameterizedTest
+  @ValueSource(ints = {FEW, MANY})
+  void whatOneBoxHearsAllHeedAndTheNextStartServes(int count) throws Exception {
+    start(count);
+
+    announce(0);
+    boxes.await(() -> all().allMatch(each -> each.usable("service").isEmpty()));
+
+    listAll(2, NEXT_START);
+    assertThat(boxes.onLoop(() -> all().allMatch(each -> each.isUsable(NEXT_START)))).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {FEW, MANY})
+  void aBoxThatComesLaterHearsOfIt(int count) throws Exception {
+    start(count);
+    announce(0);
+
+    boxes.startBox();
+    list(count, 1, UPSTREAM);
+
+    boxes.await(() -> boxes.registries().get(count).usable("service").isEmpty());
+  }
+
+  private Stream<UpstreamRegistry> all() {
+    return boxes.registries().stream();
+  }
+
+  private void start(int count) throws Exception {
+    boxes.startBoxes(count);
+    listAll(1, UPSTREAM);
+    if (count == MANY) {
+      boxes.awaitWholeViews(count);
+    }
+  }
+
+  private void announce(int box) throws Exception {
+    boxes.onLoop(
+        () -> {
+          boxes.registries().get(box).announcesLeaving(UPSTREAM);
+          return true;
+        });
+  }
+
+  private void listAll(int revision, UpstreamRecord upstream) throws Exception {
+    for (int box = 0; box < boxes.registries().size(); box++) {
+      list(box, revision, upstream);
+    }
+  }
+
+  private void list(int box, int revision, UpstreamRecord upstream) throws Exception {
+    boxes.onLoop(
+        () -> {
+          boxes.registries().get(box).replaceAll(revision, List.of(upstream));
+          return true;
+        });
+  }
+}
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -31,6 +31,7 @@
 
   private static final byte MAP_OF_ONE = (byte) 0x81;
   private static final byte ARRAY_OF_ONE = (byte) 0x91;
+  private static final int LONG_ARRAY_HEADER = 3;
   private static final byte TEXT_OF_ONE = (byte) 0xa1;
 
   @Property(tries = 300, shrinking = ShrinkingMode.OFF)
@@ -211,8 +212,10 @@
     int doubts = 1;
     int number = 1;
     int limits = 1;
-    byte[] older = Arrays.copyOf(bytes, bytes.length - limits - number - doubts - suspects);
-    older[0] -= 4;
+    int leaving = 1;
+    byte[] older =
+        Arrays.copyOf(bytes, bytes.length - leaving - limits - number - doubts - suspects);
+    older = asArrayOf(11, older);
     int evacuations = 3;
     byte[] oldest = Arrays.copyOf(older, older.length - evacuations);
     oldest[0]--;
@@ -234,6 +237,13 @@
         .hasMessageContaining("nested");
   }
 
+  /** Returns a message with a header of a short array in place of that of a long one. */
+  private static byte[] asArrayOf(int fields, byte[] longArray) {
+    byte[] shortArray = Arrays.copyOfRange(longArray, LONG_ARRAY_HEADER - 1, longArray.length);
+    shortArray[0] = (byte) (ARRAY_OF_ONE - 1 + fields);
+    return shortArray;
+  }
+
   private static <T> void assertSame(MessageFormat<T> format, T message, Class<T> type)
       throws IOException {
     byte[] bytes = MessageFormats.write(format, message);
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/RandomMessages.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/RandomMessages.java
@@ -37,7 +37,8 @@
         number(random),
         random.nextInt(3),
         number(random),
-        limits(random));
+        limits(random),
+        texts(random));
   }
 
   static List<LimitReport> limits(Random random) {
