--- a/gradeledge-core/src/main/java/org/gradeledge/node/VerdictKeeper.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/VerdictKeeper.java
@@ -44,6 +44,7 @@
   private final EventLog events;
   private final VerdictRowKeys keys = new VerdictRowKeys();
   private final HeldBackTrials trials;
+  private final ReturnedVerdictRows returned;
 
   /** Verdicts that hold, to be written again where the table loses them. */
   private final Map<RequestFingerprint, Verdict> verdicts = new HashMap<>();
@@ -71,6 +72,7 @@
     this.onDuty = onDuty;
     this.events = events;
     this.trials = new HeldBackTrials(keys, table, loop, timeOfDayMillis, onDuty, events);
+    this.returned = new ReturnedVerdictRows(table, loop, onDuty, events);
     quarantine.onVerdict(this::reached);
     quarantine.onRelease(this::released);
   }
@@ -96,7 +98,8 @@
   private void takeCopy(TableContent content) {
     Set<String> before = keys.beginCopy();
     content.rows().stream().filter(row -> !keys.isLifted(row.key())).forEach(this::take);
-    removeAgain(content.rows().stream().map(TableRow::key).filter(keys::isLifted).toList());
+    returned.removeAgain(
+        content.rows().stream().map(TableRow::key).filter(keys::isLifted).toList());
     before.stream().filter(key -> !hasRow(content, key)).forEach(this::keepTrial);
     verdicts.values().stream()
         .filter(verdict -> !hasRow(content, verdict.fingerprint().toString()))
@@ -107,12 +110,6 @@
     return content.rows().stream().anyMatch(row -> row.key().equals(key));
   }
 
-  private void removeAgain(List<String> keys) {
-    if (!keys.isEmpty() && onDuty.getAsBoolean()) {
-      table.remove(keys).subscribe(ignored -> {}, failure -> notWritten(keys.get(0), failure));
-    }
-  }
-
   /** A trial stays spent here, whoever writes its row again. */
   private void keepTrial(String key) {
     if (VerdictRow.trialOf(key).isPresent()) {
@@ -123,7 +120,24 @@
   @Override
   public void onChanges(TableChanges changes) {
     changes.put().forEach(this::take);
-    changes.removed().stream().filter(keys::isStored).forEach(this::gone);
+    changes.removed().forEach(this::removed);
+  }
+
+  /** A row that was never read here may have been lifted too: an older copy has it again. */
+  private void removed(String key) {
+    returned.gone(key);
+    if (keys.isStored(key)) {
+      gone(key);
+    } else if (!isHeldBack(key)) {
+      keys.remove(key);
+    }
+  }
+
+  private boolean isHeldBack(String key) {
+    return VerdictRow.trialOf(key)
+        .or(() -> RequestFingerprint.parse(key))
+        .filter(quarantine::bars)
+        .isPresent();
   }
 
   private void take(TableRow row) {
@@ -154,6 +168,7 @@
   private void reached(Verdict verdict) {
     verdicts.put(verdict.fingerprint(), verdict);
     keys.heldBack(verdict.fingerprint());
+    returned.heldBack(verdict.fingerprint());
     trials.sinceAtMost(verdict.fingerprint(), timeOfDayMillis.getAsLong() - verdict.ageMillis());
     events
         .change("request-held-back")
@@ -215,6 +230,7 @@
     trials.forget(fingerprint);
     List<String> stored = keys.storedOf(fingerprint, HeldBackTrials.TRIALS.size());
     stored.forEach(keys::remove);
+    keys.remove(fingerprint.toString());
     if (!stored.isEmpty()) {
       table
           .remove(stored)
--- a/gradeledge-core/src/test/java/org/gradeledge/node/OlderCopyOfVerdictsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/OlderCopyOfVerdictsTests.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.event.EventLogs;
+import org.gradeledge.follow.TableChanges;
 import org.gradeledge.follow.TableRow;
 import org.gradeledge.quarantine.Quarantine;
 import org.gradeledge.quarantine.RequestFingerprint;
+import org.gradeledge.quarantine.SuspectNews;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -24,9 +26,15 @@
   private long nowMillis = TimeUnit.DAYS.toMillis(20_000);
   private final Quarantine quarantine =
       new Quarantine(() -> TimeUnit.MILLISECONDS.toNanos(nowMillis));
+  private boolean onDuty = true;
   private final VerdictKeeper keeper =
       new VerdictKeeper(
-          quarantine, table, channel.eventLoop(), () -> nowMillis, () -> true, EventLogs.silent());
+          quarantine,
+          table,
+          channel.eventLoop(),
+          () -> nowMillis,
+          () -> onDuty,
+          EventLogs.silent());
 
   @BeforeEach
   void hold() {
@@ -91,6 +99,86 @@
     assertThat(table.keys()).isEmpty();
   }
 
+  // Guards against a lifted verdict whose row comes back and stays, as its row was never read here.
+  @Test
+  void oneThatWasLiftedBeforeItsRowWasReadHereStaysLifted() {
+    RequestFingerprint other = new RequestFingerprint(4, 5, 6);
+    String key = other.toString();
+    TableRow row = new VerdictRow(other, List.of("d", "e", "f"), nowMillis).write();
+
+    keeper.onChanges(new TableChanges(9, List.of(), List.of(key)));
+    drill(List.of(table.content().rows().get(0), row));
+
+    assertThat(quarantine.bars(other)).isFalse();
+    assertThat(table.keys()).containsExactly(KEY);
+  }
+
+  // Guards against the same where other boxes have told of the lifting before the table did.
+  @Test
+  void oneThatOthersToldIsLiftedBeforeItsRowWasReadHereStaysLifted() {
+    RequestFingerprint other = new RequestFingerprint(4, 5, 6);
+    onDuty = false;
+    quarantine.merge(
+        new SuspectNews(
+            List.of(new VerdictRow(other, List.of("d", "e", "f"), nowMillis).report(nowMillis)),
+            List.of()));
+    TableRow row = new VerdictRow(other, List.of("d", "e", "f"), nowMillis).write();
+    pass(1);
+    quarantine.lift(other);
+    pass(1);
+    onDuty = true;
+
+    drill(List.of(table.content().rows().get(0), row));
+
+    assertThat(table.keys()).containsExactly(KEY);
+  }
+
+  // Guards against a row that comes back and stays, as no box on duty knows that it was lifted.
+  @Test
+  void aBoxThatIsNotOnDutyRemovesItAgainIfNobodyElseDoes() {
+    List<TableRow> copy = table.content().rows();
+    table.remove(List.of(KEY)).block();
+    read();
+    onDuty = false;
+
+    drill(copy);
+    assertThat(table.keys()).containsExactly(KEY);
+    pass(20_000);
+
+    assertThat(table.keys()).isEmpty();
+  }
+
+  @Test
+  void aBoxThatIsNotOnDutyLeavesItToThoseThatAre() {
+    List<TableRow> copy = table.content().rows();
+    table.remove(List.of(KEY)).block();
+    read();
+    onDuty = false;
+    drill(copy);
+    table.remove(List.of(KEY)).block();
+    keeper.onChanges(new TableChanges(9, List.of(), List.of(KEY)));
+    int before = table.removals;
+
+    pass(20_000);
+
+    assertThat(table.removals).isEqualTo(before);
+  }
+
+  // Guards against a row that comes back and stays, as the call that removes it again failed.
+  @Test
+  void aRemovalThatFailsIsTriedAgain() {
+    List<TableRow> copy = table.content().rows();
+    table.remove(List.of(KEY)).block();
+    read();
+    table.away = true;
+    drill(copy);
+
+    table.away = false;
+    pass(2_000);
+
+    assertThat(table.keys()).isEmpty();
+  }
+
   @Test
   void oneThatWasLiftedAndReachedAgainIsHeld() {
     List<TableRow> copy = table.content().rows();
--- a/gradeledge-core/src/test/java/org/gradeledge/node/TableInMemory.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/TableInMemory.java
@@ -16,6 +16,7 @@
 
   boolean away;
   int creations;
+  int removals;
   private final TreeMap<String, TableRow> rows = new TreeMap<>();
   private long revision;
 
@@ -49,11 +50,16 @@
 
   @Override
   public Mono<Void> remove(List<String> keys) {
-    return Mono.fromRunnable(
-        () -> {
-          keys.forEach(rows::remove);
-          revision++;
-        });
+    return Mono.fromCallable(
+            () -> {
+              if (away) {
+                throw new IOException("the table is away");
+              }
+              keys.forEach(rows::remove);
+              removals++;
+              return revision++;
+            })
+        .then();
   }
 
   @Override
