A box that stops refuses in time what no upstream has got, in place of cutting it at its end

Cause: a planned stop refuses new requests at 0.4 of the grace and waits for those under way until 0.95 of it; nothing ends those that no upstream has got by then.

At 0.8 of the grace they are refused now (503, not run, come back soon), so that their callers hear it and go to another box. What an upstream has got goes on to the end, as before.

--- a/gradeledge-core/src/main/java/org/gradeledge/node/PlannedStop.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/PlannedStop.java
@@ -10,12 +10,17 @@
 
 /**
  * The steps of a planned stop: not ready at once, serving on until the balancer has noticed,
- * closing connections that rest, then waiting for what is under way. Confined to the event loop.
+ * closing connections that rest, then waiting for what is under way, and refusing in time what no
+ * upstream has got. Confined to the event loop.
  */
 final class PlannedStop {
 
   private static final double IDLE_CLOSES_AT = 0.3;
   private static final double REFUSES_AT = 0.4;
+
+  /** What waits for stage work by then would not be answered before the end. */
+  private static final double REFUSES_UNSENT_AT = 0.8;
+
   private static final double ENDS_AT = 0.95;
   private static final long LOOK_MILLIS = 50;
 
@@ -57,6 +62,7 @@
     server.closeAfterAnswers();
     after(IDLE_CLOSES_AT, server::closeIdle);
     after(REFUSES_AT, this::refuse);
+    after(REFUSES_UNSENT_AT, handler::refuseUnsent);
     after(ENDS_AT, whenDone);
     waitForActive(whenDone);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -59,6 +59,13 @@
     }
   }
 
+  @Override
+  public final void giveUpSilent() {
+    cancel();
+    services.caller().forget(upstream);
+    services.board().failed(upstream, true, "silent");
+  }
+
   @Override
   public final void onHead(int status, HttpHeaders headers) {
     services.board().heard(upstream);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
@@ -2,7 +2,6 @@
 
 import org.gradeledge.connection.CallListener;
 import org.gradeledge.connection.UpstreamCall;
-import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /** One try of a request at one upstream. Confined to the event loop. */
@@ -17,15 +16,20 @@
   /** Gives the call up. */
   void cancel();
 
+  /**
+   * Gives the call up as nothing came on its connection for too long: none of that age is used
+   * again, and the upstream is avoided for a while.
+   */
+  void giveUpSilent();
+
   /** Returns an attempt of the kind that the route's answers need. */
   static Attempt create(
       RelayServices services,
       UpstreamRecord upstream,
-      RouteDefinition route,
-      RelayRequest request,
+      AdmittedRequest admitted,
       AttemptListener listener) {
-    return route.repeatability().streaming()
-        ? new StreamAttempt(services, upstream, request.tokens(), listener)
+    return admitted.route().repeatability().streaming()
+        ? new StreamAttempt(services, upstream, admitted.request().tokens(), listener)
         : new WholeAnswerAttempt(services, upstream, listener);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -21,7 +21,6 @@
   private static final long FULL_PAUSE_MILLIS = 200;
 
   private final RelayServices services;
-  private final RelayRequest request;
   private final RouteDefinition route;
   private final ExchangeParts parts;
   private final ExchangeOutcome outcome;
@@ -37,7 +36,6 @@
   RelayExchange(ExchangeParts parts, Consumer<RelayExchange> onOver) {
     AdmittedRequest admitted = parts.admitted();
     this.services = parts.services();
-    this.request = admitted.request();
     this.route = admitted.route();
     this.history = new SendHistory(route);
     this.standing = new RequestStanding(services, admitted);
@@ -47,7 +45,7 @@
     this.outcome = parts.outcome();
     this.plan = parts.plan();
     this.onOver = onOver;
-    this.stream = new PassedOnStream(request.resumeAfter());
+    this.stream = new PassedOnStream(admitted.request().resumeAfter());
   }
 
   /** A request that is held back is refused before anything is done for it. */
@@ -67,9 +65,7 @@
     parts.countRequest();
     if (plan.isEmpty()) {
       dispatch();
-      return;
-    }
-    if (turn.comesTooLate()) {
+    } else if (turn.comesTooLate()) {
       giveUp(Refusal.UPSTREAMS_LIMITED, "before stage work");
     } else {
       plan.start(this::stagesDone, this::stagesFailed);
@@ -119,7 +115,7 @@
   }
 
   private void send(UpstreamRecord upstream) {
-    Attempt next = Attempt.create(services, upstream, route, request, this);
+    Attempt next = Attempt.create(services, upstream, parts.admitted(), this);
     attempt = next;
     outcome.sent(upstream, history.sent());
     standing.sent();
@@ -137,9 +133,7 @@
 
   private void giveUpSilent(Attempt watched) {
     if (watched == attempt && history.mayRunAgain()) {
-      watched.cancel();
-      services.caller().forget(watched.upstream());
-      services.board().failed(watched.upstream(), true, "silent");
+      watched.giveUpSilent();
       failed(watched, CallFailure.BROKEN);
     }
   }
@@ -254,8 +248,14 @@
 
   private void timeUp() {
     if (!outcome.isOver()) {
-      boolean idle = attempt == null && !history.maybeRan();
-      finish(idle ? Refusal.LATE_NOT_RUN : Refusal.LATE, "time is up");
+      finish(attempt == null ? Refusal.LATE_NOT_RUN : Refusal.LATE, "time is up");
+    }
+  }
+
+  /** The box ends soon: a request that no upstream has got by now is refused, not cut then. */
+  void refuseUnsent() {
+    if (attempt == null && !outcome.isOver()) {
+      finish(Refusal.STOPPING, "not sent before the stop");
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -47,6 +47,11 @@
     stopping = true;
   }
 
+  /** Refuses the requests under way that no upstream has got yet. */
+  public void refuseUnsent() {
+    List.copyOf(underWay).forEach(RelayExchange::refuseUnsent);
+  }
+
   /** Gives up the requests whose time passed while the machine was suspended. */
   public void wokeUp() {
     List.copyOf(underWay).forEach(RelayExchange::wokeUp);
