request-ended names the upstreams that were passed over, as they took no request then

What was seen: a request goes to a farther upstream or is refused, and no line says which nearer one was left out for a limit, a backoff or a cold start; only a counter grew. Up to eight ids are named.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -23,6 +23,7 @@
   private final RequestClock clock;
   private final FirstEventTimes firstEvents;
   private final StageTimeline timeline;
+  private final UpstreamCandidates candidates;
   private final CallerResponse response;
   private final StringBuilder path = new StringBuilder();
   private long stagesMillis = -1;
@@ -36,6 +37,7 @@
       RequestClock clock,
       FirstEventTimes firstEvents,
       StageTimeline timeline,
+      UpstreamCandidates candidates,
       CallerResponse response) {
     this.services = services;
     this.admitted = admitted;
@@ -44,6 +46,7 @@
     this.clock = clock;
     this.firstEvents = firstEvents;
     this.timeline = timeline;
+    this.candidates = candidates;
     this.response = response;
   }
 
@@ -139,6 +142,7 @@
         .with("stages", timeline.toString())
         .with("priority", admitted.priority())
         .with("upstreams", path.toString())
+        .with("passed-over", candidates.passedOver())
         .write();
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeParts.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeParts.java
@@ -55,7 +55,7 @@
         services,
         admitted,
         clock,
-        new ExchangeOutcome(services, admitted, clock, firstEvents, timeline, response),
+        new ExchangeOutcome(services, admitted, clock, firstEvents, timeline, candidates, response),
         candidates,
         plan,
         new RequestInputs(service, plan, inputRelease),
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -1,11 +1,13 @@
 package org.gradeledge.relay;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.limit.SendingRule;
@@ -14,12 +16,16 @@
 /** The upstreams that one request may still be sent to; each is tried once. */
 final class UpstreamCandidates {
 
+  /** Enough to see what is wrong with a service; a line stays short. */
+  private static final int MOST_TOLD = 8;
+
   private final RelayServices services;
   private final String service;
   private final RelayRequest request;
   private String zone;
   private long zoneBytes;
   private final Set<String> tried = new HashSet<>();
+  private final Set<String> passedOver = new LinkedHashSet<>();
 
   UpstreamCandidates(RelayServices services, String service, RelayRequest request) {
     this.services = services;
@@ -50,13 +56,28 @@
 
   /** Returns the upstream to be tried next, empty where all have been. */
   Optional<UpstreamRecord> next() {
-    List<UpstreamRecord> left = notTried().filter(services.sending()::admits).toList();
+    List<UpstreamRecord> left = notTried().filter(this::isAdmitted).toList();
     Optional<UpstreamRecord> chosen = services.chooser().choose(left, demand());
     chosen.ifPresent(upstream -> tried.add(upstream.start()));
     chosen.ifPresent(services.sending()::sent);
     return chosen;
   }
 
+  private boolean isAdmitted(UpstreamRecord upstream) {
+    boolean admitted = services.sending().admits(upstream);
+    if (!admitted) {
+      passedOver.add(upstream.id());
+    }
+    return admitted;
+  }
+
+  /** Returns the ids of upstreams that were passed over so far, as they took no request then. */
+  String passedOver() {
+    return passedOver.isEmpty()
+        ? ""
+        : passedOver.stream().limit(MOST_TOLD).collect(Collectors.joining(","));
+  }
+
   private Stream<UpstreamRecord> notTried() {
     return services.upstreams().usable(service).stream()
         .filter(each -> !tried.contains(each.start()));
