Soak: engines say that they leave and that they want no requests for a while, and boxes are judged by it

A series of its own (SoakSignalStep): an engine says in its answers that it leaves, also while the store is away, and starts again under its id; says something of it that cannot be read; turns requests away with times of all kinds, alone and beside other faults. SoakSignalChecks judges from what callers sent and engines got: nothing that was sent later than 2 s after a box had passed on such an answer, and no more than two requests of a box within a time that it was asked for.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineArrival.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineArrival.java
@@ -5,10 +5,13 @@
  *
  * @param id what the caller names it
  * @param path its path
- * @param millis when it came, by a steady clock
+ * @param start number of the engine's start that got it, from 0
+ * @param millis when it came, in milliseconds of a steady clock
  * @param answer what the engine said of itself in its answer
+ * @param backoffMillis for how long it asked for no requests; 0 where that is no time
  */
-public record EngineArrival(String id, String path, long millis, Answer answer) {
+public record EngineArrival(
+    String id, String path, int start, long millis, Answer answer, long backoffMillis) {
 
   /** What the answer says of the engine. */
   public enum Answer {
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineSignals.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineSignals.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.gradeledge.standin.fleet.EngineArrival.Answer;
 
 /**
@@ -14,6 +15,8 @@
  */
 public final class EngineSignals {
 
+  private static final String YES = "1";
+  private static final Pattern DECIMAL = Pattern.compile("\\d+(\\.\\d+)?");
   private static final String ANSWER = "HTTP/";
   private static final String LINE_END = "\r\n";
 
@@ -65,18 +68,30 @@
         .anyMatch(arrival -> arrival.answer() == answer && arrival.path().contains(path));
   }
 
-  /** Notes a request; returns the seconds that it is to be turned away with, if it is. */
-  Optional<String> requestCame(SeenRequest request) {
+  /**
+   * Notes a request to a start; returns the seconds that it is to be turned away with, if it is.
+   */
+  Optional<String> requestCame(SeenRequest request, int start) {
     Optional<String> turnedAway = retryAfter;
     Answer answer =
         turnedAway.isPresent()
             ? Answer.BACKOFF
-            : leaving.map(text -> Answer.LEAVING).orElse(Answer.SILENT);
-    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    arrivals.add(new EngineArrival(request.header("X-Request-Id"), request.path(), millis, answer));
+            : leaving.filter(YES::equals).map(yes -> Answer.LEAVING).orElse(Answer.SILENT);
+    arrivals.add(
+        new EngineArrival(
+            request.header("X-Request-Id"),
+            request.path(),
+            start,
+            TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            answer,
+            turnedAway.map(EngineSignals::millis).orElse(0L)));
     return turnedAway;
   }
 
+  private static long millis(String seconds) {
+    return DECIMAL.matcher(seconds).matches() ? (long) (Double.parseDouble(seconds) * 1_000) : 0;
+  }
+
   /** Returns a text of an answer with what the engine says in its head, if it has a head. */
   String addTo(String text) {
     return leaving
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -192,7 +192,7 @@
   /** Answers a request; returns whether the connection goes on. */
   private boolean answer(SeenRequest request, EngineConnection caller) throws IOException {
     limit.requestCame();
-    Optional<String> turnedAway = signals.requestCame(request);
+    Optional<String> turnedAway = signals.requestCame(request, start());
     if (turnedAway.isPresent()) {
       String refusal = "X-Not-Run: 1\r\nRetry-After: " + turnedAway.get() + "\r\n";
       return caller.send(AnswerText.whole(request, 503, refusal, ""));
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetStoreDrillTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetStoreDrillTests.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -101,8 +100,8 @@
     assertThat(upstreams.stream().filter(FleetEngine::isDown).count()).isEqualTo(ended);
   }
 
+  // Guards against the row of a lifted verdict that comes back with the copy and stays.
   @Test
-  @Tag("known-red")
   void aVerdictThatAnOperatorLiftedStaysLiftedThoughTheCopyHasIt() throws Exception {
     List<FleetEngine> upstreams = crashingUpstreams();
     startBoxes();
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngineSteps.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngineSteps.java
@@ -15,6 +15,7 @@
   private static final long LIMIT_KNOWN_MILLIS = 3_000;
 
   private static final long LIMIT_WATCHED_MILLIS = 6_000;
+  private static final long TURNED_AWAY_MILLIS = 2_000;
 
   /** A start that has left, and how many requests it had run when its bound was over. */
   private record Left(FleetEngine engine, int start, int ranByThen) {
@@ -101,6 +102,27 @@
     }
   }
 
+  /**
+   * Has an engine say in its answers that it leaves, and starts it again under its id some time
+   * later; what it got meanwhile is judged in the end.
+   */
+  void announceLeaving(FleetEngine engine, long millis) throws IOException, InterruptedException {
+    engine.signals().announceLeaving("1");
+    SoakRun.last(millis);
+    engine.signals().withdraw();
+    engine.startAgain();
+    engines.list(engine, "ready");
+  }
+
+  /** Has an engine turn requests away for some seconds while nothing else is wrong. */
+  void turnAwayInCalm(FleetEngine engine, int seconds) throws InterruptedException {
+    allServing.accept("before an engine turns requests away");
+    engine.signals().turnAway(String.valueOf(seconds));
+    SoakRun.last(TURNED_AWAY_MILLIS * patience);
+    engine.signals().withdraw();
+    allServing.accept("after an engine turned requests away");
+  }
+
   private void awaitBound() throws InterruptedException {
     SoakRun.last((LEAVING_BOUND_MILLIS + LEAVING_SLACK_MILLIS) * patience);
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
 
 /** The engines of a run, each behind a link that can be harmed, and their rows. Thread-safe. */
 final class SoakEngines implements AutoCloseable {
@@ -59,6 +60,11 @@
     return allLinks.get(random.nextInt(allLinks.size()));
   }
 
+  /** Returns all that ever served. */
+  List<FleetEngine> all() {
+    return Stream.concat(serving.stream(), gone.stream()).toList();
+  }
+
   /** Returns what all that ever served have run. */
   List<SeenRequest> ran() {
     List<SeenRequest> ran = new ArrayList<>();
@@ -71,6 +77,7 @@
   void lift() {
     serving.forEach(engine -> engine.setFault(EngineFault.NONE));
     serving.forEach(engine -> engine.limit().withdraw());
+    serving.forEach(engine -> engine.signals().withdraw());
     allLinks.forEach(link -> link.set(FaultyLink.Fault.NONE));
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -29,10 +29,12 @@
   private static final Duration RECOVERY = Duration.ofSeconds(12);
 
   private static final long WORD_SEEDS = 0x5eed;
+  private static final long SIGNAL_SEEDS = 0x51617a1;
 
   private final Random seeds;
   private final Random startSeeds;
   private final Random wordSeeds;
+  private final Random signalSeeds;
   private final Path folder;
   private final int patience;
   private final long endMillis;
@@ -56,6 +58,7 @@
     this.seeds = new Random(seed);
     this.startSeeds = new Random(~seed);
     this.wordSeeds = new Random(seed ^ WORD_SEEDS);
+    this.signalSeeds = new Random(seed ^ SIGNAL_SEEDS);
     this.engines = new SoakEngines(store, seeds);
     this.patience = patience;
     this.engineSteps = new SoakEngineSteps(engines, this::expectAllServing, broken::add, patience);
@@ -99,7 +102,7 @@
   }
 
   private void playSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(SERIES + 2);
+    ExecutorService series = Executors.newFixedThreadPool(SERIES + 3);
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < SERIES; i++) {
       Random random = new Random(seeds.nextLong());
@@ -107,6 +110,7 @@
     }
     running.add(series.submit(() -> playOneSeries(SoakStartStep.values(), startSeeds)));
     running.add(series.submit(() -> playOneSeries(SoakWordStep.values(), wordSeeds)));
+    running.add(series.submit(() -> playOneSeries(SoakSignalStep.values(), signalSeeds)));
     for (Future<?> each : running) {
       each.get();
     }
@@ -216,6 +220,8 @@
     broken.addAll(SoakChecks.notRunIsTrue(callers.calls(), ran));
     broken.addAll(SoakChecks.neverBack(callers.calls()));
     broken.addAll(SoakChecks.stopCutsNothing(callers.calls(), ran, stops));
+    broken.addAll(SoakSignalChecks.leavingIsHeeded(callers.calls(), engines.all()));
+    broken.addAll(SoakSignalChecks.backoffIsHeeded(callers.calls(), engines.all()));
     engineSteps.judge();
   }
 
