Test of leaving upstreams: a box that was told by another need not hear it from the upstream

It waits now until each box has passed on such an answer or has been told, and counts what reaches the upstream from then on. That is as strict: nothing may come, also from boxes that were only told.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -109,6 +109,11 @@
     await(() -> logs.stream().allMatch(log -> lines(log, "peer-heard") >= boxes.size() - 1));
   }
 
+  /** Returns whether a box has written a line. */
+  boolean hasLogged(int box, String event) {
+    return lines(logs.get(box), event) > 0;
+  }
+
   private static long lines(ByteArrayOutputStream log, String event) {
     return log.toString(StandardCharsets.UTF_8)
         .lines()
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetLeavingUpstreamTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetLeavingUpstreamTests.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.stream.IntStream;
 import org.gradeledge.standin.fleet.EngineArrival.Answer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -36,18 +38,14 @@
     startBoxes();
     fleet.store().setFault(StoreFault.SILENT);
     leaving.signals().announceLeaving("1");
-    for (int box = 0; box < BOXES; box++) {
-      int asked = box;
-      Fleet.await(() -> get(asked) && hasTold(leaving, asked));
-    }
+    awaitAllKnow(leaving);
+    List<Long> before = cameFromEach(leaving);
 
     for (int number = 0; number < REQUESTS; number++) {
       assertThat(get(number % BOXES)).isTrue();
     }
 
-    for (int box = 0; box < BOXES; box++) {
-      assertThat(leaving.signals().cameAfter(Answer.LEAVING, path(box))).isZero();
-    }
+    assertThat(cameFromEach(leaving)).isEqualTo(before);
   }
 
   // Guards against stage work at an upstream whose answers have said that it leaves (DRAIN).
@@ -62,7 +60,7 @@
     Fleet.await(
         () -> {
           fleet.atOnce(CALLERS, this::staged);
-          return leaving.signals().hasAnswered(Answer.LEAVING, "/stage-run");
+          return leaving.signals().hasAnswered(Answer.LEAVING, "/stage-");
         });
     long before = leaving.signals().came("/stage-run");
 
@@ -80,10 +78,8 @@
     fleet.engine("plain", EngineKind.PLAIN);
     startBoxes();
     leaving.signals().announceLeaving("1");
-    for (int box = 0; box < BOXES; box++) {
-      int asked = box;
-      Fleet.await(() -> get(asked) && hasTold(leaving, asked));
-    }
+    awaitAllKnow(leaving);
+    List<Long> before = cameFromEach(leaving);
     fleet.list(leaving, "ready");
     FleetEngine witness = fleet.engine("plain", EngineKind.PLAIN);
     for (int box = 0; box < BOXES; box++) {
@@ -94,17 +90,15 @@
     for (int number = 0; number < REQUESTS; number++) {
       assertThat(get(number % BOXES)).isTrue();
     }
-    for (int box = 0; box < BOXES; box++) {
-      assertThat(leaving.signals().cameAfter(Answer.LEAVING, path(box))).isZero();
-    }
+    assertThat(cameFromEach(leaving)).isEqualTo(before);
 
     leaving.signals().withdraw();
     leaving.startAgain();
     fleet.list(leaving, "ready");
     for (int box = 0; box < BOXES; box++) {
       int asked = box;
-      long before = leaving.signals().came(path(asked));
-      Fleet.await(() -> get(asked) && leaving.signals().came(path(asked)) > before);
+      long then = leaving.signals().came(path(asked));
+      Fleet.await(() -> get(asked) && leaving.signals().came(path(asked)) > then);
     }
   }
 
@@ -113,8 +107,20 @@
     fleet.awaitMet();
   }
 
-  private static boolean hasTold(FleetEngine engine, int box) {
-    return engine.signals().hasAnswered(Answer.LEAVING, path(box));
+  /** Waits until each box has passed on an answer that says so, or was told by one that has. */
+  private void awaitAllKnow(FleetEngine leaving) throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      int asked = box;
+      Fleet.await(
+          () ->
+              get(asked)
+                  && (leaving.signals().hasAnswered(Answer.LEAVING, path(asked))
+                      || fleet.hasLogged(asked, "upstream-announces-leaving")));
+    }
+  }
+
+  private static List<Long> cameFromEach(FleetEngine engine) {
+    return IntStream.range(0, BOXES).mapToObj(box -> engine.signals().came(path(box))).toList();
   }
 
   /** Requests of one box can be told from those of others by their path. */
