--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
@@ -22,7 +22,10 @@
 import org.gradeledge.selection.ColdUpstreams;
 import org.gradeledge.time.MonotonicClock;
 
-/** Puts together what tells which upstreams take one more request of this box now. */
+/**
+ * Puts together what tells which upstreams take one more request of this box now, and hands on what
+ * the heads of their answers say.
+ */
 final class UpstreamSending {
 
   private final MonotonicClock clock;
