Fix: a time without requests ended when the upstream's entry went and came back

What a box had been asked for was dropped with the entry in the list, so that each time an entry lapsed and came back one more request reached an upstream within the time for which it wants none.

FleetBackoffTests.theTimeHoldsThoughItsEntryGoesAndComesBack failed before (3 requests of a box where 2 may come). A time ends by the clock alone now; what is over is dropped when another begins (UpstreamBackoffsTests.whatIsOverIsNotKept takes the place of the test that asked for the drop).

--- a/gradeledge-core/src/main/java/org/gradeledge/limit/UpstreamBackoffs.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/UpstreamBackoffs.java
@@ -13,7 +13,8 @@
 /**
  * Keeps this box away from starts of upstreams that have turned a request of it away and asked for
  * a time without any. Each such answer opens a time of its own: a later, shorter one does not end
- * an earlier one, and neither does an answer to work that was done.
+ * an earlier one, and neither does an answer to work that was done, nor an entry in the list that
+ * goes and comes back.
  *
  * <p>When a time is over, the first requests go there one after the other, so that what has waited
  * meanwhile does not come all at once. Confined to the event loop.
@@ -108,6 +109,7 @@
       before.get().endNanos = later(before.get().endNanos, end);
       return;
     }
+    byStart.values().removeIf(other -> other.isOver(now));
     byStart.put(upstream.start(), new Backoff(now, end));
     events
         .change("upstream-backoff")
@@ -123,11 +125,6 @@
     return second - first > 0 ? second : first;
   }
 
-  /** Forgets an upstream that is gone. */
-  public void forget(UpstreamRecord upstream) {
-    byStart.remove(upstream.start());
-  }
-
   @Override
   public boolean admits(UpstreamRecord upstream) {
     long now = clock.nanos();
@@ -176,6 +173,11 @@
     return byStart.values().stream().filter(backoff -> backoff.lasts(now)).count();
   }
 
+  /** Returns how many starts are kept, those whose time is over included. */
+  int kept() {
+    return byStart.size();
+  }
+
   /** Returns how often an upstream was passed over so far, as it wants nothing for a while. */
   public long heldOff() {
     return heldOff;
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamSending.java
@@ -76,7 +76,6 @@
     limits.onNews(mesh::tellNow);
     upstreams.onAnnounced(mesh::tellNow);
     backoffs.onBegin(caller::holdOff);
-    upstreams.onEnd(backoffs::forget);
   }
 
   private void leaving(UpstreamRecord upstream, LeavingStatement statement) {
--- a/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamBackoffsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamBackoffsTests.java
@@ -121,12 +121,13 @@
   }
 
   @Test
-  void oneThatIsGoneIsForgotten() {
-    request(UPSTREAM, 60_000);
-
-    backoffs.forget(UPSTREAM);
+  void whatIsOverIsNotKept() {
+    for (int number = 0; number < 1_000; number++) {
+      request(upstream(number), 100);
+      nowMillis += 10;
+    }
 
-    assertThat(backoffs.count()).isZero();
+    assertThat(backoffs.kept()).isLessThan(200);
   }
 
   @Test
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetBackoffTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetBackoffTests.java
@@ -77,6 +77,43 @@
     assertThat(busy.signals().came("/stage-") - before).isLessThanOrEqualTo(MOST);
   }
 
+  // Guards against requests within that time once the upstream's entry has gone and come back.
+  @Test
+  void theTimeHoldsThoughItsEntryGoesAndComesBack() throws Exception {
+    FleetEngine busy = fleet.engine("plain", EngineKind.PLAIN);
+    fleet.engine("plain", EngineKind.PLAIN);
+    startBoxes();
+    busy.signals().turnAway(SECONDS);
+    for (int box = 0; box < BOXES; box++) {
+      int asked = box;
+      Fleet.await(
+          () ->
+              get(asked).statusCode() == 200
+                  && busy.signals().hasAnswered(Answer.BACKOFF, path(asked)));
+    }
+
+    for (int time = 0; time <= MOST; time++) {
+      fleet.store().remove("servers", busy.id());
+      awaitSeenByAll(fleet.engine("plain", EngineKind.PLAIN));
+      fleet.list(busy, "ready");
+      awaitSeenByAll(fleet.engine("plain", EngineKind.PLAIN));
+      for (int number = 0; number < REQUESTS / MOST; number++) {
+        assertThat(get(number % BOXES).statusCode()).isEqualTo(200);
+      }
+    }
+    for (int box = 0; box < BOXES; box++) {
+      assertThat(busy.signals().cameAfter(Answer.BACKOFF, path(box))).isLessThanOrEqualTo(MOST);
+    }
+  }
+
+  /** Once an engine is used that was listed afterwards, what was written before is known. */
+  private void awaitSeenByAll(FleetEngine engine) throws Exception {
+    for (int box = 0; box < BOXES; box++) {
+      int asked = box;
+      Fleet.await(() -> get(asked).statusCode() == 200 && engine.signals().came(path(asked)) > 0);
+    }
+  }
+
   private void startBoxes() throws Exception {
     fleet.startBoxes(BOXES);
     fleet.awaitMet();
