--- a/gradeledge-core/src/main/java/org/gradeledge/limit/UpstreamLimits.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/limit/UpstreamLimits.java
@@ -42,8 +42,21 @@
 
   private static final long NANOS_OF_MILLI = 1_000_000;
 
-  /** What is known of one start; a rate, or that there is none any more, and since when. */
-  private record Known(long perThousandSeconds, long notedNanos) {
+  /**
+   * What is known of one start: a rate, or that there is none any more.
+   *
+   * @param notedNanos when that was last shown
+   * @param sinceNanos when it was first shown
+   */
+  private record Known(long perThousandSeconds, long notedNanos, long sinceNanos) {
+
+    Known(long perThousandSeconds, long notedNanos) {
+      this(perThousandSeconds, notedNanos, notedNanos);
+    }
+
+    Known shownAgain(long shownNanos) {
+      return new Known(perThousandSeconds, shownNanos, sinceNanos);
+    }
 
     boolean isLimit() {
       return perThousandSeconds != LimitReport.LIFTED;
@@ -124,9 +137,15 @@
 
   private void lifted(UpstreamRecord upstream, long sentNanos) {
     Known known = byStart.get(upstream.start());
-    if (known != null && known.isLimit() && sentNanos - known.notedNanos() > 0) {
+    if (known == null || sentNanos - known.notedNanos() <= 0) {
+      return;
+    }
+    if (known.isLimit()) {
       put(upstream.start(), new Known(LimitReport.LIFTED, sentNanos), "answer");
       onNews.run();
+    } else {
+      // Otherwise a word of before, which another box has heard meanwhile, would count as younger.
+      byStart.put(upstream.start(), known.shownAgain(sentNanos));
     }
   }
 
@@ -192,7 +211,7 @@
         .filter(
             entry ->
                 entry.getValue().isLimit()
-                    || now - entry.getValue().notedNanos() < LIFTED_TOLD.toNanos())
+                    || now - entry.getValue().sinceNanos() < LIFTED_TOLD.toNanos())
         .map(
             entry ->
                 new LimitReport(
--- a/gradeledge-core/src/test/java/org/gradeledge/limit/LimitedDeploymentTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/limit/LimitedDeploymentTests.java
@@ -3,12 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
+import java.util.stream.LongStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import org.gradeledge.limit.LimitedDeploymentModel.Plan;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -87,6 +89,29 @@
     assertThat(deployment.boxesThatKnowALimit()).isZero();
   }
 
+  // Guards against a limit that an older word brings back, as later answers without it were
+  // ignored.
+  @Test
+  void aLimitThatIsLiftedIsNotBroughtBackByAnOlderWord() {
+    assertThat(
+            LongStream.rangeClosed(-400, 400)
+                .filter(seed -> boxesThatKnowAfterLifting(3, seed) > 0)
+                .boxed()
+                .toList())
+        .isEmpty();
+  }
+
+  private static long boxesThatKnowAfterLifting(int boxes, long seed) {
+    LimitedDeploymentModel deployment = loaded(boxes, 2, seed);
+    deployment.run(20_000);
+    deployment.setLimit(-1);
+    while (!deployment.isLiftedForSure()) {
+      deployment.run(10);
+    }
+    deployment.run(1_000);
+    return deployment.boxesThatKnowALimit();
+  }
+
   @Property(tries = 20, shrinking = ShrinkingMode.OFF)
   void aLimitThatComesBackHoldsAgain(
       @ForAll long seed, @ForAll @IntRange(min = 2, max = 61) int boxes) {
