--- a/gradeledge-core/src/test/java/org/gradeledge/relay/BackingOffUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/BackingOffUpstreamTests.java
@@ -5,10 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.gradeledge.connection.CallFailure;
-import org.gradeledge.deployment.Deployments;
-import org.gradeledge.deployment.Repeatability;
 import org.gradeledge.deployment.RouteDefinition;
-import org.gradeledge.deployment.StageWork;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.limit.BackoffStatement;
@@ -19,20 +16,12 @@
 class BackingOffUpstreamTests {
 
   private static final List<Integer> NO_PIECES = List.of();
-  private static final RouteDefinition PLAIN =
-      Deployments.route(RelayInVirtualTime.HOST, "/path/", Repeatability.REPEATABLE);
-  private static final RouteDefinition STAGED =
-      Deployments.route(
-          RelayInVirtualTime.HOST,
-          "/path/",
-          Repeatability.REPEATABLE,
-          List.of(new StageWork("service", List.of(), 1)));
 
   private UpstreamBackoffs backoffs;
 
   @Test
   void aRequestGoesToAnotherOfTheServiceWithoutWaiting() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, 1, 2);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1, 2);
     request(1, 3_000);
 
     box.send("r1", NO_PIECES);
@@ -42,7 +31,7 @@
 
   @Test
   void whereAllBackOffForLongItIsRefusedAtOnceAndToldWhenTheFirstOfThemTakesRequestsAgain() {
-    RelayInVirtualTime box = box(PLAIN, 1, 2);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1, 2);
     request(1, 60_000);
     request(2, 1_400);
 
@@ -58,7 +47,7 @@
   @Test
   void whereAllThatWereAskedTurnItAwayItIsToldWhenTheFirstOfThemTakesRequestsAgain()
       throws Exception {
-    RelayInVirtualTime box = box(PLAIN, 1, 2);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1, 2);
     box.send("r1", NO_PIECES);
     request(1, 60_000);
     box.caller.next().fail(CallFailure.HELD_OFF);
@@ -76,7 +65,7 @@
 
   @Test
   void whereTheEndIsNearItWaitsAndIsSentThen() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, 1);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1);
     request(1, 100);
 
     box.send("r1", NO_PIECES);
@@ -90,7 +79,7 @@
 
   @Test
   void whatWaitsIsNotSentAllAtOnceAndTheRestIsRefused() {
-    RelayInVirtualTime box = box(PLAIN, 1);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1);
     request(1, 100);
 
     for (int request = 0; request < 40; request++) {
@@ -107,7 +96,7 @@
 
   @Test
   void noStageWorkIsBegunWhereNoUpstreamTakesTheRequestInTime() {
-    RelayInVirtualTime box = box(STAGED, 1, 2);
+    RelayInVirtualTime box = box(RelayInVirtualTime.STAGED, 1, 2);
     request(1, 60_000);
     request(2, 60_000);
 
@@ -119,7 +108,7 @@
 
   @Test
   void whatStillDialledGoesToAnotherAtOnce() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, 1, 2);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1, 2);
     box.send("r1", NO_PIECES);
     request(1, 3_000);
 
@@ -132,7 +121,7 @@
 
   @Test
   void aLimitedOneBesideThemIsWaitedForNoLongerThanItTakes() {
-    RelayInVirtualTime box = box(PLAIN, 1, 2);
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, 1, 2);
     request(1, 100);
     request(2, 60_000);
 
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/LimitedUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/LimitedUpstreamTests.java
@@ -6,10 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.gradeledge.connection.CallFailure;
-import org.gradeledge.deployment.Deployments;
-import org.gradeledge.deployment.Repeatability;
 import org.gradeledge.deployment.RouteDefinition;
-import org.gradeledge.deployment.StageWork;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.limit.BoxRank;
@@ -24,20 +21,12 @@
 class LimitedUpstreamTests {
 
   private static final List<Integer> NO_PIECES = List.of();
-  private static final RouteDefinition PLAIN =
-      Deployments.route(RelayInVirtualTime.HOST, "/path/", Repeatability.REPEATABLE);
-  private static final RouteDefinition STAGED =
-      Deployments.route(
-          RelayInVirtualTime.HOST,
-          "/path/",
-          Repeatability.REPEATABLE,
-          List.of(new StageWork("service", List.of(), 1)));
 
   private UpstreamLimits limits;
 
   @Test
   void aRequestGoesToOneThatNamesNoLimitWithoutWaiting() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, upstream(1), upstream(2));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1), upstream(2));
     name(upstream(1), 1);
 
     box.send("r1", NO_PIECES);
@@ -47,7 +36,7 @@
 
   @Test
   void aRetryThatOnlyALimitedOneIsLeftForEndsWithWhatHappenedAndNotWithRefused() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, upstream(1), upstream(2));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1), upstream(2));
     name(upstream(1), 0.2);
     box.send("r1", NO_PIECES);
 
@@ -60,7 +49,7 @@
 
   @Test
   void whereAllNameLimitsWhatCannotBeInTimeIsRefusedAtOnce() {
-    RelayInVirtualTime box = box(PLAIN, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1));
     name(upstream(1), 1);
 
     box.send("r1", NO_PIECES);
@@ -71,7 +60,7 @@
 
   @Test
   void whatIsItsTurnSoonWaitsForIt() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1));
     name(upstream(1), 20);
 
     box.send("r1", NO_PIECES);
@@ -84,7 +73,7 @@
 
   @Test
   void noMoreWaitThanCanBeInTime() {
-    RelayInVirtualTime box = box(PLAIN, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1));
     name(upstream(1), 20);
 
     for (int request = 0; request < 40; request++) {
@@ -99,7 +88,7 @@
 
   @Test
   void aLaterRequestDoesNotTakeTheTurnOfOneThatWaits() throws Exception {
-    RelayInVirtualTime box = box(PLAIN, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1));
     name(upstream(1), 20);
     box.send("first", NO_PIECES);
     box.suspend(60);
@@ -115,7 +104,7 @@
 
   @Test
   void noStageWorkIsBegunWhereNoUpstreamTakesTheRequestInTime() {
-    RelayInVirtualTime box = box(STAGED, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.STAGED, upstream(1));
     name(upstream(1), 0.5);
 
     box.send("r1", List.of(2));
@@ -126,7 +115,7 @@
 
   @Test
   void requestsWhoseStageWorkIsUnderWayCountBeforeThoseThatComeLater() {
-    RelayInVirtualTime box = box(STAGED, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.STAGED, upstream(1));
     name(upstream(1), 4);
 
     for (int request = 0; request < 20; request++) {
@@ -138,7 +127,7 @@
 
   @Test
   void oneWhoseCallerHasGoneWhileItWaitedTakesNoTurn() {
-    RelayInVirtualTime box = box(PLAIN, upstream(1));
+    RelayInVirtualTime box = box(RelayInVirtualTime.PLAIN, upstream(1));
     name(upstream(1), 20);
     box.send("r1", NO_PIECES);
 
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
@@ -9,27 +9,15 @@
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.connection.UpstreamProof;
-import org.gradeledge.deployment.Deployments;
-import org.gradeledge.deployment.Repeatability;
-import org.gradeledge.deployment.RouteDefinition;
-import org.gradeledge.deployment.StageWork;
 import org.junit.jupiter.api.Test;
 
 /** What becomes of one request under which upstreams end. */
 class QuarantinedRequestTests {
 
   private static final List<Integer> NO_PIECES = List.of();
-  private static final RouteDefinition PLAIN =
-      Deployments.route(RelayInVirtualTime.HOST, "/path/", Repeatability.REPEATABLE);
-  private static final RouteDefinition STAGED =
-      Deployments.route(
-          RelayInVirtualTime.HOST,
-          "/path/",
-          Repeatability.REPEATABLE,
-          List.of(new StageWork("service", List.of(), 1)));
 
   private final RelayInVirtualTime box =
-      new RelayInVirtualTime(PLAIN, upstream(1), upstream(2), upstream(3));
+      new RelayInVirtualTime(RelayInVirtualTime.PLAIN, upstream(1), upstream(2), upstream(3));
 
   @Test
   void oneThatIsHeldBackIsRefusedAtOnceAndToldForHowLong() {
@@ -44,7 +32,7 @@
 
   @Test
   void noStageWorkIsBegunForIt() {
-    RelayInVirtualTime staged = new RelayInVirtualTime(STAGED, upstream(1));
+    RelayInVirtualTime staged = new RelayInVirtualTime(RelayInVirtualTime.STAGED, upstream(1));
     endElsewhere(staged, "a", "b", "c");
 
     staged.send("r1", List.of(2));
@@ -55,7 +43,7 @@
 
   @Test
   void stageWorkThatWaitsIsGivenUpAtTheMomentOfTheVerdict() {
-    RelayInVirtualTime staged = new RelayInVirtualTime(STAGED, upstream(1));
+    RelayInVirtualTime staged = new RelayInVirtualTime(RelayInVirtualTime.STAGED, upstream(1));
     staged.send("r1", List.of(2));
     assertThat(staged.stages.groups).hasSize(1);
 
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/RelayInVirtualTime.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/RelayInVirtualTime.java
@@ -19,7 +19,9 @@
 import org.gradeledge.connection.UpstreamEnds;
 import org.gradeledge.deployment.DeploymentRegistry;
 import org.gradeledge.deployment.Deployments;
+import org.gradeledge.deployment.Repeatability;
 import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.deployment.StageWork;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
@@ -39,6 +41,18 @@
 
   static final String HOST = "host";
   static final String PATH = "/path/x";
+
+  /** A route of requests that may be repeated. */
+  static final RouteDefinition PLAIN = Deployments.route(HOST, "/path/", Repeatability.REPEATABLE);
+
+  /** The same with a stage before. */
+  static final RouteDefinition STAGED =
+      Deployments.route(
+          HOST,
+          "/path/",
+          Repeatability.REPEATABLE,
+          List.of(new StageWork("service", List.of(), 1)));
+
   private static final byte[] BODY = "a body".getBytes(StandardCharsets.UTF_8);
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StoppingBoxTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StoppingBoxTests.java
@@ -3,24 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import org.gradeledge.deployment.Deployments;
-import org.gradeledge.deployment.Repeatability;
-import org.gradeledge.deployment.RouteDefinition;
-import org.gradeledge.deployment.StageWork;
 import org.junit.jupiter.api.Test;
 
 /** What becomes of the requests of a box that is about to end. */
 class StoppingBoxTests {
 
-  private static final RouteDefinition STAGED =
-      Deployments.route(
-          RelayInVirtualTime.HOST,
-          "/path/",
-          Repeatability.REPEATABLE,
-          List.of(new StageWork("service", List.of(), 1)));
-
   private final RelayInVirtualTime box =
-      new RelayInVirtualTime(STAGED, RelayInVirtualTime.upstream(1));
+      new RelayInVirtualTime(RelayInVirtualTime.STAGED, RelayInVirtualTime.upstream(1));
 
   // Guards against a request that waits for stage work and is cut without an answer at the end.
   @Test
