--- a/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
@@ -9,6 +9,7 @@
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.connection.LivenessResult;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Handling of a request whose upstreams crash while serving it. */
@@ -157,6 +158,21 @@
     assertThat(box.upstreamCaller.hasNoCalls()).isTrue();
   }
 
+  // Guards against releasing a crashing request because another process uses the address.
+  @Test
+  @Tag("known-red")
+  void answerOfAnotherUpstreamAtTheAddressDoesNotRefuteCrash() throws Exception {
+    recordCrashes(box, upstream(1).incarnationId(), "b", "c");
+    box.advance(3_000);
+
+    box.sendOther("r1");
+    box.upstreamCaller.nextCall().respond(SimulatedRelay.OTHER_UPSTREAM, "");
+    box.upstreamCaller.nextCall().respond(200, "ok");
+
+    assertThat(box.answers).containsExactly("200");
+    assertThat(box.quarantine.isQuarantined(box.fingerprint())).isTrue();
+  }
+
   private void loseConnection(FakeUpstreamCaller.Call call) {
     call.fail(CallFailure.BROKEN);
     box.runPendingTasks();
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -56,6 +56,9 @@
           Repeatability.REPEATABLE,
           List.of(new StageWork("service", List.of(), 1)));
 
+  /** Status of an answer from an upstream other than the one that the request was sent to. */
+  static final int OTHER_UPSTREAM = 421;
+
   private static final byte[] BODY = "a body".getBytes(StandardCharsets.UTF_8);
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -135,8 +138,17 @@
     return new RequestIdentity("account", "POST", HOST, PATH, BODY).fingerprint();
   }
 
-  /** Sends a request; all requests have the same fingerprint. */
+  /** Sends a request; all requests sent by this method have the same fingerprint. */
   void send(String id, List<Integer> pieces) {
+    send(id, pieces, BODY);
+  }
+
+  /** Sends a request whose fingerprint is not that of {@link #fingerprint}. */
+  void sendOther(String id) {
+    send(id, List.of(), "another body".getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void send(String id, List<Integer> pieces, byte[] body) {
     activeRequest =
         handler.handle(
             new RelayRequest(
@@ -146,7 +158,7 @@
                 PATH,
                 HOST,
                 new DefaultHttpHeaders(),
-                BODY,
+                body,
                 Optional.empty(),
                 Optional.of("known-key"),
                 Optional.empty(),
@@ -215,7 +227,10 @@
     answers.add("abort");
   }
 
-  /** Sends requests unchanged; no answer reports that the request was not run. */
+  /**
+   * Sends requests unchanged; only an answer of another upstream reports that the request was not
+   * run.
+   */
   private static final class PassThroughProtocol implements RelayProtocol {
 
     @Override
@@ -240,7 +255,8 @@
 
     @Override
     public AnswerSignals readAnswer(int status, HttpHeaders headers) {
-      return new AnswerSignals(false, false);
+      boolean fromOtherUpstream = status == OTHER_UPSTREAM;
+      return new AnswerSignals(fromOtherUpstream, fromOtherUpstream);
     }
   }
 }
