Do not clear a crashing request by a server error

A request that had crashed two upstreams and was then answered 500 by an upstream that fails part of its requests counted as harmless: all its crashes were withdrawn at all boxes, and three more upstreams could end under it.

A failure says nothing of what a sound upstream does with the request, so only an answer below 500 clears it.

QuarantinedRequestTests.serverErrorDoesNotWithdrawCrashes failed before (0 crashes instead of 2); the quarantine's tests and simulations pass.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -208,7 +208,7 @@
   @Override
   public void answered(Attempt answered, int status, HttpHeaders headers, ByteBuf body) {
     timers.stopWatchdog();
-    quarantine.recordAnswered();
+    quarantine.recordAnswered(status);
     if (history.mayReplaceAnswer(status) && context.trySpendRetry()) {
       body.release();
       history.recordPossibleRun();
@@ -237,7 +237,7 @@
 
   @Override
   public void streamEnded(StreamAttempt source) {
-    quarantine.recordAnswered();
+    quarantine.recordAnswered(source.status());
     release();
     outcome.endStream();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestQuarantine.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestQuarantine.java
@@ -21,6 +21,7 @@
 final class RequestQuarantine {
 
   private static final String NO_ACCOUNT = "";
+  private static final int FIRST_SERVER_ERROR = 500;
 
   /** Retry delay if no further trial is due and only an operator can lift the verdict. */
   private static final Duration RETRY_AFTER_WITHOUT_TRIAL = Duration.ofHours(1);
@@ -90,9 +91,12 @@
     return services.trials().timeUntilNext(fingerprint());
   }
 
-  /** Records that the request was answered completely. */
-  void recordAnswered() {
-    if (isShapeKnown()) {
+  /**
+   * Records that the request was answered completely. An upstream that failed may not have got as
+   * far as the point at which others crash.
+   */
+  void recordAnswered(int status) {
+    if (status < FIRST_SERVER_ERROR && isShapeKnown()) {
       quarantine.recordSuccess(fingerprint());
     }
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
@@ -171,6 +171,19 @@
     assertThat(box.quarantine.isQuarantined(box.fingerprint())).isTrue();
   }
 
+  // Guards against clearing a crashing request by an upstream that failed before it crashed.
+  @Test
+  void serverErrorDoesNotWithdrawCrashes() throws Exception {
+    recordCrashes(box, "a", "b");
+
+    box.send("r1", NO_PIECES);
+    box.upstreamCaller.nextCall().respond(500, "");
+    box.upstreamCaller.nextCall().respond(500, "");
+
+    assertThat(box.answers).containsExactly("500");
+    assertThat(box.quarantine.crashCount(box.fingerprint())).isEqualTo(2);
+  }
+
   private void loseConnection(FakeUpstreamCaller.Call call) {
     call.fail(CallFailure.BROKEN);
     box.runPendingTasks();
