Refute a crash only by the answer to a request that was sent after it

A box that was frozen or slow heard first that an upstream had crashed, and then read what the upstream had sent before: more than a second later, so the crash was refuted at all boxes and a crashing request was released.

Found by reading. An answer proves life after a crash only if its request was sent after the crash was recorded, however long the answer took; the margin of a second goes. The check on data that comes at once is stricter now: it is refused for any delay, where a second was enough before.

QuarantinedRequestTests.lateAnswerToEarlierRequestDoesNotRefuteCrash failed before; the tests and simulations of the quarantine pass.

--- a/gradeledge-core/src/main/java/org/gradeledge/quarantine/Quarantine.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/quarantine/Quarantine.java
@@ -1,6 +1,5 @@
 package org.gradeledge.quarantine;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -17,7 +16,7 @@
  *
  * <p>All requests in flight at a crash become suspects. A complete answer withdraws the crashes of
  * a request. A crash of a quarantined request does not count against other requests. A crash is
- * refuted if the upstream sends data later.
+ * refuted if the upstream answers a request that was sent later.
  *
  * <p>Confined to the event loop.
  *
@@ -34,9 +33,6 @@
    */
   private static final int CRASHES_TO_STAY_QUARANTINED = 2;
 
-  /** Data received within this time after a crash may have been sent before it. */
-  static final Duration MAX_READ_DELAY = Duration.ofSeconds(1);
-
   private final MonotonicClock clock;
   private final SuspectRegistry suspects;
   private final Set<RequestFingerprint> pendingFingerprints = new LinkedHashSet<>();
@@ -115,9 +111,14 @@
     }
   }
 
-  /** Records that an upstream sent data, which refutes an earlier crash. */
-  public void recordAlive(String incarnationId) {
-    if (suspects.hasCrashedBefore(incarnationId, clock.nanos() - MAX_READ_DELAY.toNanos())) {
+  /**
+   * Records that an upstream answered a request. This refutes a crash recorded before the request
+   * was sent; an answer to an earlier request may have been sent before the crash and read late.
+   *
+   * @param sentNanos time at which the request was sent
+   */
+  public void recordAlive(String incarnationId, long sentNanos) {
+    if (suspects.hasCrashedBefore(incarnationId, sentNanos)) {
       suspects.refute(incarnationId);
       evaluate(true);
       pendingAliveIncarnationIds.add(incarnationId);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -87,7 +87,7 @@
   private void recordSignOfLife(AnswerSignals signals) {
     if (!signals.addressReused()) {
       services.loads().recordActivity(upstream);
-      services.quarantine().recordAlive(upstream.incarnationId());
+      services.quarantine().recordAlive(upstream.incarnationId(), startNanos);
     }
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineTests.java
@@ -89,23 +89,35 @@
   }
 
   /**
-   * A partitioned box records crashes of all upstreams; the other boxes still receive data from
+   * A partitioned box records crashes of all upstreams; the other boxes still get answers from
    * them.
    */
   @Test
-  void refutesCrashOfUpstreamThatSendsLater() {
+  void refutesCrashOfUpstreamThatAnswersLaterRequest() {
     recordCrashes(HARMLESS, "a", "b", "c");
-    advance(Quarantine.MAX_READ_DELAY.toMillis());
-    quarantine.recordAlive("b");
+    quarantine.recordAlive("b", now);
     assertThat(quarantine.isQuarantined(HARMLESS)).isTrue();
 
     advance(1);
-    quarantine.recordAlive("b");
+    quarantine.recordAlive("b", now);
 
     assertThat(quarantine.isQuarantined(HARMLESS)).isFalse();
     assertThat(quarantine.crashCount(HARMLESS)).isEqualTo(2);
   }
 
+  // Guards against releasing a crashing request by data that a paused box reads late.
+  @Test
+  void answerToRequestSentBeforeCrashDoesNotRefuteIt() {
+    long sentNanos = now;
+    advance(1);
+    recordCrashes(HARMLESS, "a", "b", "c");
+    advance(5_000);
+
+    quarantine.recordAlive("b", sentNanos);
+
+    assertThat(quarantine.isQuarantined(HARMLESS)).isTrue();
+  }
+
   @Test
   void hasShapeHashOnlyWhileCrashesCount() {
     assertThat(quarantine.hasShapeHash(CRASHING.shapeHash())).isFalse();
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/QuarantinedRequestTests.java
@@ -184,6 +184,20 @@
     assertThat(box.quarantine.crashCount(box.fingerprint())).isEqualTo(2);
   }
 
+  // Guards against releasing a crashing request by an answer that a paused box reads late.
+  @Test
+  void lateAnswerToEarlierRequestDoesNotRefuteCrash() throws Exception {
+    box.sendOther("r1");
+    FakeUpstreamCaller.Call earlier = box.upstreamCaller.nextCall();
+    box.advance(1);
+    recordCrashes(box, upstream(1).incarnationId(), "b", "c");
+    box.advance(3_000);
+
+    earlier.respond(200, "ok");
+
+    assertThat(box.quarantine.isQuarantined(box.fingerprint())).isTrue();
+  }
+
   private void loseConnection(FakeUpstreamCaller.Call call) {
     call.fail(CallFailure.BROKEN);
     box.runPendingTasks();
