Log connections to upstreams that could not be established

The log of a box did not tell whether its connections to upstreams are refused or hang; upstream-not-connected does, one line for each. Nothing is decided by it.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -45,6 +45,8 @@
   private final Map<String, UpstreamConnectionPool> poolsByIncarnation = new HashMap<>();
   private final Map<String, Set<UpstreamConnection>> openByIncarnation = new HashMap<>();
   private BiConsumer<UpstreamRecord, ResponseHead> responseListener = (upstream, head) -> {};
+  private BiConsumer<UpstreamRecord, LivenessResult> connectFailureListener =
+      (upstream, result) -> {};
 
   /**
    * Creates a caller without open connections.
@@ -147,6 +149,11 @@
     this.responseListener = listener;
   }
 
+  /** Sets the listener for connections that could not be established. */
+  public void onConnectFailure(BiConsumer<UpstreamRecord, LivenessResult> listener) {
+    this.connectFailureListener = listener;
+  }
+
   private void connect(UpstreamRecord target, UpstreamConnectionPool pool, CallInProgress call) {
     UpstreamConnection connection =
         new UpstreamConnection(pool, head -> responseListener.accept(target, head), clock);
@@ -178,6 +185,9 @@
     connectFuture.addListener(
         done -> {
           pool.removeConnecting(call);
+          if (done.cause() != null && !call.isFinished()) {
+            connectFailureListener.accept(target, toResult(done.cause()));
+          }
           onConnected(done.cause(), connection, call);
         });
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -9,6 +9,7 @@
 import org.gradeledge.batch.PendingPieces;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.connection.LivenessChecker;
+import org.gradeledge.connection.LivenessResult;
 import org.gradeledge.connection.PooledUpstreamCaller;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.DeploymentRegistry;
@@ -91,9 +92,7 @@
     QuarantineVerdictStore verdicts = newVerdictStore(quarantine, adapters);
     this.followers = newFollowers(adapters, verdicts, clock);
     RetryBudget budget = newRetryBudget(clock);
-    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit, clock);
-    upstreams.onRetired(caller::retire);
-    upstreams.onReplaced(caller::abort);
+    PooledUpstreamCaller caller = newUpstreamCaller(clock);
     limiters.handleSignals(caller, adapters.signalReader(), mesh);
     UpstreamRateLimiter rateLimiter = limiters.rateLimit(mesh);
     limiters.registerMetrics(metrics, rateLimiter);
@@ -153,6 +152,23 @@
     }
   }
 
+  private PooledUpstreamCaller newUpstreamCaller(MonotonicClock clock) {
+    PooledUpstreamCaller caller = new PooledUpstreamCaller(loop, this::connectionLimit, clock);
+    caller.onConnectFailure(this::logConnectFailure);
+    upstreams.onRetired(caller::retire);
+    upstreams.onReplaced(caller::abort);
+    return caller;
+  }
+
+  private void logConnectFailure(UpstreamRecord upstream, LivenessResult result) {
+    events
+        .problem("upstream-not-connected")
+        .with("upstream", upstream.id())
+        .with("service", upstream.service())
+        .with("why", result.name())
+        .write();
+  }
+
   private UpstreamChooser newChooser(UpstreamLoads loads) {
     return new PrefixAffinityChooser(
         loads, new LeastLoadedChooser(loads, new Random()), this::kvCacheTokens);
