--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -28,14 +31,28 @@
     /** Drops all bytes on open connections until they are closed; new connections work. */
     SILENCE_OPEN_CONNECTIONS,
     /** Resets open and new connections. */
-    RESET
+    RESET,
+    /** Refuses new connections; open ones work. */
+    REFUSE_NEW_CONNECTIONS,
+    /** Resets open connections and refuses new ones. */
+    RESET_AND_REFUSE,
+    /** Drops all bytes on open connections and does not answer new ones. */
+    HANG
   }
 
   private static final long DELAY_NANOS = 60_000_000;
   private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int BACKLOG = 128;
+  private static final int MAX_BIND_ATTEMPTS = 500;
+  private static final long BIND_RETRY_NANOS = 2_000_000;
+
+  /** More than the connections that the system queues for a backlog of 1. */
+  private static final int CONNECTIONS_TO_FILL_BACKLOG = 3;
 
   private final InetSocketAddress target;
-  private final ServerSocket listener;
+  private final int port;
+  private final List<SocketChannel> queuedConnections = new CopyOnWriteArrayList<>();
+  private volatile ServerSocket listener;
   private final List<Socket> openSockets = new CopyOnWriteArrayList<>();
   private final Set<Socket> silencedSockets = ConcurrentHashMap.newKeySet();
   private volatile Fault fault = Fault.NONE;
@@ -46,28 +63,90 @@
         new InetSocketAddress(
             targetAddress.substring(0, colon),
             Integer.parseInt(targetAddress.substring(colon + 1)));
-    this.listener = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
-    DaemonThread.start("link", this::acceptConnections);
+    this.listener = listen(0, BACKLOG);
+    this.port = listener.getLocalPort();
+    startAccepting();
+  }
+
+  /** Retries while the thread that accepted connections still holds the closed listener. */
+  private static ServerSocket listen(int port, int backlog) throws IOException {
+    for (int attempt = 1; ; attempt++) {
+      ServerSocket socket = new ServerSocket();
+      try {
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
+        return socket;
+      } catch (BindException e) {
+        socket.close();
+        if (attempt == MAX_BIND_ATTEMPTS) {
+          throw e;
+        }
+        LockSupport.parkNanos(BIND_RETRY_NANOS);
+      }
+    }
+  }
+
+  private void startAccepting() {
+    ServerSocket accepting = listener;
+    DaemonThread.start("link", () -> acceptConnections(accepting));
   }
 
   String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return "127.0.0.1:" + port;
   }
 
-  void setFault(Fault newFault) {
+  synchronized void setFault(Fault newFault) {
+    try {
+      applyFault(newFault);
+    } catch (IOException e) {
+      throw new UncheckedIOException("could not change the listener of the link", e);
+    }
+  }
+
+  private void applyFault(Fault newFault) throws IOException {
+    Fault previous = fault;
     fault = newFault;
-    if (newFault == Fault.RESET) {
+    if (newFault == Fault.RESET || newFault == Fault.RESET_AND_REFUSE) {
       openSockets.forEach(FaultyLink::reset);
     }
-    if (newFault == Fault.SILENCE_OPEN_CONNECTIONS) {
+    if (newFault == Fault.SILENCE_OPEN_CONNECTIONS || newFault == Fault.HANG) {
       silencedSockets.addAll(openSockets);
     }
+    if (newFault == Fault.REFUSE_NEW_CONNECTIONS || newFault == Fault.RESET_AND_REFUSE) {
+      listener.close();
+    } else if (newFault == Fault.HANG) {
+      listener.close();
+      listener = listen(port, 1);
+      fillBacklog();
+    } else if (listener.isClosed() || previous == Fault.HANG) {
+      accept();
+    }
+  }
+
+  private void accept() throws IOException {
+    listener.close();
+    for (SocketChannel queued : queuedConnections) {
+      queued.close();
+    }
+    queuedConnections.clear();
+    listener = listen(port, BACKLOG);
+    startAccepting();
   }
 
-  private void acceptConnections() {
+  /** Fills the queue of the listener, so that the system drops further attempts to connect. */
+  private void fillBacklog() throws IOException {
+    for (int number = 0; number < CONNECTIONS_TO_FILL_BACKLOG; number++) {
+      SocketChannel channel = SocketChannel.open();
+      channel.configureBlocking(false);
+      channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+      queuedConnections.add(channel);
+    }
+  }
+
+  private void acceptConnections(ServerSocket accepting) {
     try {
       while (true) {
-        Socket client = listener.accept();
+        Socket client = accepting.accept();
         DaemonThread.start("link", () -> connectToTarget(client));
       }
     } catch (IOException e) {
@@ -131,6 +210,9 @@
   @Override
   public void close() throws IOException {
     listener.close();
+    for (SocketChannel queued : queuedConnections) {
+      queued.close();
+    }
     openSockets.forEach(FaultyLink::reset);
   }
 }
