Failing test: one box sends a configuration to all others

61 and 86 boxes: 60 and 85 take it from the box that has read it first (fewer than half are asked for).

--- a/gradeledge-core/src/test/java/org/gradeledge/event/RecordedEvents.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/event/RecordedEvents.java
@@ -29,6 +29,17 @@
     return lines(event);
   }
 
+  /** Returns the number of lines of an event with the given text value of a field. */
+  public long count(String event, String field, String value) {
+    count(event);
+    String text = "\"" + field + "\":\"" + value + "\"";
+    return bytes
+        .toString(StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.contains("\"event\":\"" + event + "\"") && line.contains(text))
+        .count();
+  }
+
   private long lines(String event) {
     return bytes
         .toString(StandardCharsets.UTF_8)
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/InProcessBoxes.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/InProcessBoxes.java
@@ -1,6 +1,7 @@
 package org.gradeledge.mesh;
 
 import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,8 +15,10 @@
 import java.util.stream.IntStream;
 import org.gradeledge.batch.PendingPieces;
 import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.deployment.TestDeployments;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
+import org.gradeledge.event.RecordedEvents;
 import org.gradeledge.limit.UpstreamLimits;
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.peer.PeerNetwork;
@@ -44,6 +47,8 @@
   private final List<BoxMesh> meshes = new ArrayList<>();
   private final List<PeerNetwork> networks = new ArrayList<>();
   private final List<UpstreamRegistry> registries = new ArrayList<>();
+  private final List<DeploymentRegistry> deploymentRegistries = new ArrayList<>();
+  private final RecordedEvents configurationEvents = new RecordedEvents();
   private final List<Quarantine> quarantines = new ArrayList<>();
   private final List<UpstreamLimits> upstreamLimits = new ArrayList<>();
   private final List<DisposableServer> servers = new ArrayList<>();
@@ -62,6 +67,16 @@
     return registries;
   }
 
+  /** Returns the configurations of the boxes, in start order. */
+  List<DeploymentRegistry> deployments() {
+    return deploymentRegistries;
+  }
+
+  /** Returns how many boxes took a configuration from the given box. */
+  long configurationsTakenFrom(int box) {
+    return configurationEvents.count("configuration-in-force", "source", address(box));
+  }
+
   /** Returns the quarantines of the boxes, in start order. */
   List<Quarantine> quarantines() {
     return quarantines;
@@ -136,10 +151,8 @@
     upstreamLimits.add(limits);
     DeploymentRegistry deployments =
         new DeploymentRegistry(
-            document -> {
-              throw new IllegalArgumentException("no configuration is read in this test");
-            },
-            EventLogs.silent());
+            document -> Either.right(TestDeployments.of(document[0])), configurationEvents.log());
+    deploymentRegistries.add(deployments);
     SharedBoxState state =
         new SharedBoxState(
             deployments,
