Stop checking the path to an upstream that is no longer known

A path that fails while its upstream leaves was checked once a second for good, as an upstream is retired before it is gone. Found on reading the tunnels again; UpstreamPathsTests.upstreamThatIsNoLongerKnownIsNotCheckedAgain.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamPaths.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamPaths.java
@@ -190,11 +190,18 @@
   }
 
   private void check(UpstreamRecord upstream) {
-    if (hasFailed(upstream)) {
+    if (!isKnown(upstream)) {
+      remove(upstream);
+    } else if (hasFailed(upstream)) {
       directCheck.accept(upstream, result -> recordRepeated(upstream, result));
     }
   }
 
+  private boolean isKnown(UpstreamRecord upstream) {
+    return upstreams.get().stream()
+        .anyMatch(known -> known.incarnationId().equals(upstream.incarnationId()));
+  }
+
   private void recordRepeated(UpstreamRecord upstream, PathCheck result) {
     if (result == PathCheck.REACHED) {
       recordConnected(upstream);
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamPathsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamPathsTests.java
@@ -19,6 +19,7 @@
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private long nowMillis = 1_000_000;
+  private List<UpstreamRecord> known = List.of(FIRST, SECOND);
   private final Map<UpstreamRecord, PathCheck> results = new HashMap<>();
   private final List<UpstreamRecord> checked = new ArrayList<>();
   private final List<UpstreamRecord> silent = new ArrayList<>();
@@ -27,7 +28,7 @@
           channel.eventLoop(),
           () -> TimeUnit.MILLISECONDS.toNanos(nowMillis),
           EventLogs.silent(),
-          () -> List.of(FIRST, SECOND),
+          () -> known,
           (target, listener) -> {
             checked.add(target);
             listener.accept(results.getOrDefault(target, PathCheck.REACHED));
@@ -110,6 +111,19 @@
     assertThat(checked).isEmpty();
   }
 
+  // Guards against checking the address of an upstream that failed while it was leaving for ever.
+  @Test
+  void upstreamThatIsNoLongerKnownIsNotCheckedAgain() {
+    results.put(FIRST, PathCheck.REFUSED);
+    paths.recordFailed(FIRST, PathCheck.REFUSED);
+    known = List.of(SECOND);
+
+    advance(10 * UpstreamPaths.CHECK_INTERVAL.toMillis());
+
+    assertThat(checked).isEmpty();
+    assertThat(paths.hasFailed(FIRST)).isFalse();
+  }
+
   private void advance(long millis) {
     nowMillis += millis;
     channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
