Partition single boxes from all upstreams in the soak

Each box reads the store at a view of its own, in which links stand for the upstreams. A series of its own partitions boxes (connections refused, reset, hanging, one way), again after a moment, and in calm checks that a partitioned box serves each kind of request.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
@@ -13,7 +13,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.gradeledge.standin.StandInHttp;
 import org.gradeledge.standin.StandInServer;
 import org.reactivestreams.Publisher;
@@ -39,23 +41,38 @@
 
   private final Map<String, Map<String, Row>> tables = new TreeMap<>();
   private final StandInServer server;
+  private final List<StandInServer> views = new CopyOnWriteArrayList<>();
   private volatile StoreFault fault = StoreFault.NONE;
   private long revision;
   private int epoch = 1;
 
   /** Starts the store on a free port. */
   public StoreStandIn() {
-    server =
-        StandInServer.start(
-            HttpServer.create()
-                .host(HOST)
-                .port(0)
-                .route(
-                    routes ->
-                        routes
-                            .get("/rows-get", this::get)
-                            .get("/rows-feed", this::feed)
-                            .post("/rows-tx", this::handleTransaction)));
+    server = startServer(UnaryOperator.identity());
+  }
+
+  /**
+   * Opens another address of this store, at which the values of rows read differently.
+   *
+   * @param rewrite returns what the value of a row reads there
+   */
+  public String openView(UnaryOperator<String> rewrite) {
+    StandInServer view = startServer(rewrite);
+    views.add(view);
+    return HOST + ":" + view.port();
+  }
+
+  private StandInServer startServer(UnaryOperator<String> rewrite) {
+    return StandInServer.start(
+        HttpServer.create()
+            .host(HOST)
+            .port(0)
+            .route(
+                routes ->
+                    routes
+                        .get("/rows-get", (request, response) -> get(request, response, rewrite))
+                        .get("/rows-feed", (request, response) -> feed(request, response, rewrite))
+                        .post("/rows-tx", this::handleTransaction)));
   }
 
   /** Returns the address of the store. */
@@ -116,14 +133,17 @@
         .put(key, new Row(key, new byte[0], revision, true));
   }
 
-  private Publisher<Void> get(HttpServerRequest request, HttpServerResponse response) {
+  private Publisher<Void> get(
+      HttpServerRequest request, HttpServerResponse response, UnaryOperator<String> rewrite) {
     QueryStringDecoder query = new QueryStringDecoder(request.uri());
     return replyUnlessFaulty(
         response,
-        () -> StandInHttp.sendJson(response, OK, rows(parameter(query, "table"), 0, false)));
+        () ->
+            StandInHttp.sendJson(response, OK, rows(parameter(query, "table"), 0, false, rewrite)));
   }
 
-  private Publisher<Void> feed(HttpServerRequest request, HttpServerResponse response) {
+  private Publisher<Void> feed(
+      HttpServerRequest request, HttpServerResponse response, UnaryOperator<String> rewrite) {
     QueryStringDecoder query = new QueryStringDecoder(request.uri());
     String table = parameter(query, "table");
     long afterRevision = Long.parseLong(parameter(query, "after_revision"));
@@ -143,7 +163,9 @@
                     Mono.defer(
                         () ->
                             StandInHttp.sendJson(
-                                withEpoch(response), OK, rows(table, afterRevision, true)))));
+                                withEpoch(response),
+                                OK,
+                                rows(table, afterRevision, true, rewrite)))));
   }
 
   private Publisher<Void> handleTransaction(
@@ -223,20 +245,23 @@
         .anyMatch(row -> row.revision() > afterRevision);
   }
 
-  private synchronized ObjectNode rows(String table, long afterRevision, boolean includeRemoved) {
+  private synchronized ObjectNode rows(
+      String table, long afterRevision, boolean includeRemoved, UnaryOperator<String> rewrite) {
     ObjectNode result = JsonNodeFactory.instance.objectNode();
     ArrayNode array = result.putArray("rows");
     tables.getOrDefault(table, Map.of()).values().stream()
         .filter(row -> row.revision() > afterRevision && (includeRemoved || !row.removed()))
         .sorted(Comparator.comparingLong(Row::revision))
-        .forEach(row -> put(array.addObject(), table, row));
+        .forEach(row -> put(array.addObject(), table, row, rewrite));
     result.put("more", false).put("ver", revision);
     return result;
   }
 
-  private static void put(ObjectNode object, String table, Row row) {
+  private static void put(ObjectNode object, String table, Row row, UnaryOperator<String> rewrite) {
+    String text = rewrite.apply(new String(row.value(), StandardCharsets.UTF_8));
+    byte[] value = text.getBytes(StandardCharsets.UTF_8);
     object.put("table", table).put("part", "").put("private_key", row.key());
-    object.put("value", Base64.getEncoder().encodeToString(row.value())).put("ver", row.revision());
+    object.put("value", Base64.getEncoder().encodeToString(value)).put("ver", row.revision());
     if (row.removed()) {
       object.put("gone", true);
     }
@@ -249,5 +274,6 @@
   @Override
   public void close() {
     server.close();
+    views.forEach(StandInServer::close);
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -71,17 +71,17 @@
 
   /** Starts a box without waiting until it is ready. */
   void startBox() throws Exception {
-    startBox(store);
+    startBox(store.address());
   }
 
-  /** Starts a box that reads another store, without waiting until it is ready. */
-  void startBox(StoreStandIn storeOfBox) throws Exception {
+  /** Starts a box that reads the store at the given address, without waiting until it is ready. */
+  void startBox(String storeAddress) throws Exception {
     List<Integer> ports = FreePorts.find(4);
     LoopResources resources = LoopResources.create("box-" + boxes.size(), 1, 1, true, false);
     ByteArrayOutputStream log = new ByteArrayOutputStream();
     EventLog events = new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8), "box");
     byte[] settings =
-        FleetConfiguration.settings(ports, storeOfBox.address(), seedAddresses())
+        FleetConfiguration.settings(ports, storeAddress, seedAddresses())
             .getBytes(StandardCharsets.UTF_8);
     RelayBox box = PlatformBoxFactory.create(settings, resources, events);
     box.start().block(TIMEOUT);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetPartitionedBoxTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetPartitionedBoxTests.java
@@ -2,9 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
@@ -32,20 +29,18 @@
   private static final double MIN_SERVED_SHARE = 2.0 / 3;
 
   private final Fleet fleet = new Fleet();
-  private final StoreStandIn storeOfPartitioned = new StoreStandIn();
-  private final List<FaultyLink> links = new ArrayList<>();
+  private final UpstreamLinks links = new UpstreamLinks();
 
   /** Starts two boxes; one of them reaches the upstreams over links. */
   @BeforeEach
   void start() throws Exception {
-    storeOfPartitioned.put("op", "config", FleetConfiguration.configuration(1, ""));
     for (int number = 0; number < 2; number++) {
-      addUpstream("plain", EngineKind.PLAIN);
-      addUpstream("model", EngineKind.STREAM);
-      addUpstream("stage", EngineKind.STAGE);
+      fleet.addEngine("plain", EngineKind.PLAIN);
+      fleet.addEngine("model", EngineKind.STREAM);
+      fleet.addEngine("stage", EngineKind.STAGE);
     }
     fleet.startBox();
-    fleet.startBox(storeOfPartitioned);
+    fleet.startBox(fleet.store().openView(links::rewriteRow));
     fleet.awaitReady(CONNECTED);
     fleet.awaitReady(PARTITIONED);
     fleet.awaitPeersConnected();
@@ -53,21 +48,10 @@
     assertThat(countServed(PARTITIONED, "/staged/x", STAGE_HEADERS)).isEqualTo(REQUESTS);
   }
 
-  private void addUpstream(String service, EngineKind kind) throws IOException {
-    FleetEngine engine = fleet.addEngine(service, kind);
-    FaultyLink link = new FaultyLink(engine.address());
-    links.add(link);
-    String row = engine.row(engine.kind().service(), "zone-a", "ready");
-    storeOfPartitioned.put("servers", engine.id(), row.replace(engine.address(), link.address()));
-  }
-
   @AfterEach
   void stop() throws Exception {
     fleet.close();
-    storeOfPartitioned.close();
-    for (FaultyLink link : links) {
-      link.close();
-    }
+    links.close();
   }
 
   // Guards against refusing requests at a box that lost the path to all upstreams.
@@ -115,7 +99,7 @@
   }
 
   private void partition(FaultyLink.Fault fault) throws Exception {
-    links.forEach(link -> link.setFault(fault));
+    links.setFault(fault);
     sendConcurrently("/again/x", AUTHORIZATION);
     sendConcurrently("/resume/x", AUTHORIZATION);
     sendConcurrently("/staged/x", STAGE_HEADERS);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
@@ -16,16 +16,17 @@
   private final int number;
   private final List<Integer> ports;
   private final FaultyLink storeLink;
+  private final UpstreamLinks upstreamLinks = new UpstreamLinks();
   private final Object processLock = new Object();
   private volatile Process process;
   private volatile int incarnation;
 
-  SoakBox(Path folder, int number, String storeAddress) throws IOException {
+  SoakBox(Path folder, int number, StoreStandIn store) throws IOException {
     this.folder = folder;
     this.number = number;
     // Outgoing connections must not take the ports of a box that is being restarted.
     this.ports = FreePorts.findBelowEphemeralRange(PORT_COUNT);
-    this.storeLink = new FaultyLink(storeAddress);
+    this.storeLink = new FaultyLink(store.openView(upstreamLinks::rewriteRow));
   }
 
   /** Returns the lock that steps hold while they stop, kill or suspend the process. */
@@ -37,6 +38,10 @@
     return storeLink;
   }
 
+  UpstreamLinks upstreamLinks() {
+    return upstreamLinks;
+  }
+
   int number() {
     return number;
   }
@@ -87,5 +92,6 @@
   public void close() throws IOException {
     kill();
     storeLink.close();
+    upstreamLinks.close();
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakFaultStep.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakFaultStep.java
@@ -106,6 +106,15 @@
     }
   };
 
+  private static final FaultyLink.Fault[] LINK_FAULTS = {
+    FaultyLink.Fault.NONE,
+    FaultyLink.Fault.DELAY,
+    FaultyLink.Fault.DROP_TO_TARGET,
+    FaultyLink.Fault.DROP_FROM_TARGET,
+    FaultyLink.Fault.SILENCE_OPEN_CONNECTIONS,
+    FaultyLink.Fault.RESET
+  };
+
   private final boolean exclusive;
 
   SoakFaultStep(boolean exclusive) {
@@ -118,8 +127,7 @@
   }
 
   private static void injectFault(FaultyLink link, Random random) throws InterruptedException {
-    FaultyLink.Fault[] faults = FaultyLink.Fault.values();
-    link.setFault(faults[random.nextInt(faults.length)]);
+    link.setFault(LINK_FAULTS[random.nextInt(LINK_FAULTS.length)]);
     SoakRun.pause(200 + random.nextInt(2_500));
     link.setFault(FaultyLink.Fault.NONE);
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -30,11 +30,13 @@
 
   private static final long LIMIT_SEED_MASK = 0x5eed;
   private static final long ANNOUNCEMENT_SEED_MASK = 0x51617a1;
+  private static final long PARTITION_SEED_MASK = 0x9a27;
 
   private final Random faultRandom;
   private final Random restartRandom;
   private final Random limitRandom;
   private final Random announcementRandom;
+  private final Random partitionRandom;
   private final Path folder;
   private final int timeoutFactor;
   private final long endMillis;
@@ -60,6 +62,7 @@
     this.restartRandom = new Random(~seed);
     this.limitRandom = new Random(seed ^ LIMIT_SEED_MASK);
     this.announcementRandom = new Random(seed ^ ANNOUNCEMENT_SEED_MASK);
+    this.partitionRandom = new Random(seed ^ PARTITION_SEED_MASK);
     this.engines = new SoakEngines(store, faultRandom);
     this.timeoutFactor = timeoutFactor;
     this.engineSteps =
@@ -72,7 +75,7 @@
       engines.add(kind);
     }
     for (int number = 0; number < boxCount; number++) {
-      boxes.add(new SoakBox(folder, number, store.address()));
+      boxes.add(new SoakBox(folder, number, store));
     }
   }
 
@@ -104,7 +107,7 @@
   }
 
   private void runAllSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 3);
+    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 4);
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < FAULT_SERIES; i++) {
       Random random = new Random(faultRandom.nextLong());
@@ -113,6 +116,7 @@
     running.add(series.submit(() -> runSeries(SoakRestartStep.values(), restartRandom)));
     running.add(series.submit(() -> runSeries(SoakLimitAndRestoreStep.values(), limitRandom)));
     running.add(series.submit(() -> runSeries(SoakAnnouncementStep.values(), announcementRandom)));
+    running.add(series.submit(() -> runSeries(SoakPartitionStep.values(), partitionRandom)));
     for (Future<?> each : running) {
       each.get();
     }
@@ -196,6 +200,7 @@
     store.setFault(StoreFault.NONE);
     engines.clearFaults();
     boxes.forEach(box -> box.storeLink().setFault(FaultyLink.Fault.NONE));
+    boxes.forEach(box -> box.upstreamLinks().setFault(FaultyLink.Fault.NONE));
   }
 
   private void expectAllServing(String phase) {
@@ -203,7 +208,7 @@
   }
 
   /** Records a violation unless the box serves each kind of request within the recovery timeout. */
-  private void expectServing(SoakBox box, String phase) {
+  void expectServing(SoakBox box, String phase) {
     long deadlineMillis = SoakCallers.currentMillis() + RECOVERY_TIMEOUT.toMillis() * timeoutFactor;
     HttpClient client = FleetCaller.newClient();
     for (String path : FleetConfiguration.PATHS) {
