Ask boxes of other zones for a path, not only those of the own zone

A box that lost the path to an upstream asked three boxes of its own zone. Where a whole zone of many boxes is partitioned, its boxes asked only each other, were refused, and served nothing; none of them could learn that the path is lost.

Found on reading the tunnels again. One box of the own zone is asked, then boxes of others, and whoever could not connect to an upstream is asked last for it for a second, whatever it met.

TunnelClientTests failed before (3 of 5: a zone of 12 that is refused, silent or cannot tell) and passes.

--- a/gradeledge-core/src/main/java/org/gradeledge/tunnel/TunnelClient.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/tunnel/TunnelClient.java
@@ -14,6 +14,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.gradeledge.connection.DirectDialer;
 import org.gradeledge.connection.PathCheck;
 import org.gradeledge.connection.TunnelConnector;
@@ -22,9 +25,10 @@
 import org.gradeledge.time.MonotonicClock;
 
 /**
- * Connects to upstreams through other boxes. Prefers boxes of the same zone; upstreams are spread
- * over these by rendezvous hashing. Boxes that have no path themselves, or do not answer, are asked
- * last for a while. Confined to the event loop.
+ * Connects to upstreams through other boxes. Asks one box of the same zone first and then boxes of
+ * other zones, as a partition may affect a whole zone; upstreams are spread over the boxes by
+ * rendezvous hashing. Boxes that could not help are asked last for a while. Confined to the event
+ * loop.
  *
  * @since 0.3
  */
@@ -35,11 +39,14 @@
   /** Time for which a box that could not help is asked last. */
   private static final Duration AVOIDANCE = Duration.ofSeconds(1);
 
+  /** The path from another box to an incarnation of an upstream. */
+  private record FailedPath(String box, String incarnationId) {}
+
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final DirectDialer dialer;
   private final TunnelPeers peers;
-  private final Map<String, Long> failedNanos = new HashMap<>();
+  private final Map<FailedPath, Long> failedNanos = new HashMap<>();
   private final Map<String, Set<Channel>> openByBox = new HashMap<>();
   private long openedCount;
 
@@ -65,7 +72,7 @@
         true,
         (box, offer) -> {
           if (offer.hasTunnel()) {
-            open(box, offer, listener);
+            open(box, target, offer, listener);
           } else {
             listener.accept(new Result(offer.check(), Optional.empty()));
           }
@@ -79,34 +86,52 @@
 
   private void search(UpstreamRecord target, boolean keep, TunnelSearch.Listener listener) {
     TunnelRequest request = new TunnelRequest(target.incarnationId(), keep);
-    new TunnelSearch(peers, loop, request, candidates(target), this::recordFailure, listener)
+    new TunnelSearch(
+            peers,
+            loop,
+            request,
+            candidates(target),
+            (box, check) -> recordFailure(box, target),
+            listener)
         .start();
   }
 
   private List<String> candidates(UpstreamRecord target) {
     List<String> available = peers.available();
-    Comparator<String> notAvoidedFirst = Comparator.comparing(this::isAvoided);
-    return available.stream()
-        .sorted(
-            notAvoidedFirst
-                .thenComparing(box -> !peers.isInOwnZone(box))
-                .thenComparing(RendezvousHash.byRank(target.id())))
+    Set<String> avoided =
+        available.stream().filter(box -> isAvoided(box, target)).collect(Collectors.toSet());
+    List<String> ranked =
+        available.stream()
+            .sorted(
+                Comparator.comparing((String box) -> avoided.contains(box))
+                    .thenComparing(RendezvousHash.byRank(target.id())))
+            .toList();
+    return Stream.of(
+            ranked.stream()
+                .filter(peers::isInOwnZone)
+                .limit(1)
+                .filter(box -> !avoided.contains(box)),
+            ranked.stream().filter(box -> !peers.isInOwnZone(box)),
+            ranked.stream().filter(peers::isInOwnZone))
+        .flatMap(Function.identity())
+        .distinct()
         .toList();
   }
 
-  private boolean isAvoided(String box) {
-    Long failed = failedNanos.get(box);
+  private boolean isAvoided(String box, UpstreamRecord target) {
+    Long failed = failedNanos.get(new FailedPath(box, target.incarnationId()));
     return failed != null && clock.nanos() - failed < AVOIDANCE.toNanos();
   }
 
-  /** An upstream that refuses a box says nothing against the box. */
-  private void recordFailure(String box, PathCheck check) {
-    if (check == PathCheck.UNAVAILABLE) {
-      failedNanos.put(box, clock.nanos());
-    }
+  /** Records that a box could not connect to an upstream. */
+  private void recordFailure(String box, UpstreamRecord target) {
+    long now = clock.nanos();
+    failedNanos.values().removeIf(failed -> now - failed >= AVOIDANCE.toNanos());
+    failedNanos.put(new FailedPath(box, target.incarnationId()), now);
   }
 
-  private void open(String box, TunnelOffer offer, Consumer<Result> listener) {
+  private void open(
+      String box, UpstreamRecord target, TunnelOffer offer, Consumer<Result> listener) {
     String host = box.substring(0, box.lastIndexOf(':'));
     dialer
         .connect(host, offer.port(), CONNECT_TIMEOUT)
@@ -115,7 +140,7 @@
               if (opened.isSuccess()) {
                 listener.accept(start(box, offer, opened.channel()));
               } else {
-                recordFailure(box, PathCheck.UNAVAILABLE);
+                recordFailure(box, target);
                 listener.accept(new Result(PathCheck.UNAVAILABLE, Optional.empty()));
               }
             });
@@ -141,7 +166,6 @@
   }
 
   private void closeTunnelsThrough(String box) {
-    failedNanos.remove(box);
     Set.copyOf(openByBox.getOrDefault(box, Set.of())).forEach(Channel::close);
   }
 }
