--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetPartitionedBoxTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetPartitionedBoxTests.java
@@ -4,10 +4,10 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.junit.jupiter.params.provider.EnumSource.Mode;
 
 /**
  * Tests boxes that are partitioned from all upstreams while callers, the store and another box
@@ -45,7 +45,7 @@
     fleet.awaitReady(PARTITIONED);
     fleet.awaitPeersConnected();
     assertThat(countServed(PARTITIONED, "/again/x", AUTHORIZATION)).isEqualTo(REQUESTS);
-    assertThat(countServed(PARTITIONED, "/staged/x", STAGE_HEADERS)).isEqualTo(REQUESTS);
+    assertServed(PARTITIONED, "/staged/x", STAGE_HEADERS);
   }
 
   @AfterEach
@@ -58,7 +58,6 @@
   @ParameterizedTest
   @EnumSource(
       value = FaultyLink.Fault.class,
-      mode = Mode.INCLUDE,
       names = {"REFUSE_NEW_CONNECTIONS", "RESET_AND_REFUSE", "HANG"})
   void servesRequestsWithoutPathToUpstreams(FaultyLink.Fault fault) throws Exception {
     partition(fault);
@@ -72,7 +71,6 @@
   @ParameterizedTest
   @EnumSource(
       value = FaultyLink.Fault.class,
-      mode = Mode.INCLUDE,
       names = {"REFUSE_NEW_CONNECTIONS", "RESET_AND_REFUSE", "HANG"})
   void servesStageWorkOfOwnerWithoutPathToUpstreams(FaultyLink.Fault fault) throws Exception {
     partition(fault);
@@ -82,14 +80,10 @@
   }
 
   // Guards against counting upstreams that a partitioned box cannot reach as crashed.
-  @ParameterizedTest
-  @EnumSource(
-      value = FaultyLink.Fault.class,
-      mode = Mode.INCLUDE,
-      names = {"RESET_AND_REFUSE"})
-  void servesRequestThatLostItsConnectionsInPartitions(FaultyLink.Fault fault) throws Exception {
+  @Test
+  void servesRequestThatLostItsConnectionsInPartitions() throws Exception {
     for (int round = 0; round < 4; round++) {
-      partition(fault);
+      partition(FaultyLink.Fault.RESET_AND_REFUSE);
       assertServed(PARTITIONED, "/again/x", AUTHORIZATION);
       partition(FaultyLink.Fault.NONE);
       assertServed(PARTITIONED, "/again/x", AUTHORIZATION);
