--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamPaths.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamPaths.java
@@ -56,7 +56,7 @@
   private final Supplier<Collection<UpstreamRecord>> upstreams;
   private final DirectCheck directCheck;
   private final Map<String, FailedPath> failedByIncarnation = new HashMap<>();
-  private Consumer<UpstreamRecord> lostListener = upstream -> {};
+  private Consumer<UpstreamRecord> silentListener = upstream -> {};
   private long allCheckedNanos;
 
   /**
@@ -79,9 +79,12 @@
     this.allCheckedNanos = clock.nanos() - CHECK_INTERVAL.toNanos();
   }
 
-  /** Sets the listener for paths that do not respond although other boxes reach the upstream. */
-  public void onLost(Consumer<UpstreamRecord> listener) {
-    lostListener = listener;
+  /**
+   * Sets the listener for upstreams to which this box cannot connect because nobody answers: open
+   * connections to them are likely to be affected too, unlike those of paths that refuse new ones.
+   */
+  public void onSilent(Consumer<UpstreamRecord> listener) {
+    silentListener = listener;
   }
 
   /** Returns whether the last direct connection to an upstream failed. */
@@ -165,7 +168,7 @@
         .with("reached-by", box)
         .write();
     if (sign == PathCheck.SILENT) {
-      lostListener.accept(upstream);
+      silentListener.accept(upstream);
     }
     checkAll();
   }
@@ -217,7 +220,7 @@
     }
     recordFailed(upstream, result);
     if (result == PathCheck.SILENT) {
-      lostListener.accept(upstream);
+      silentListener.accept(upstream);
     }
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamConnectivity.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamConnectivity.java
@@ -50,7 +50,7 @@
     this.caller =
         new PooledUpstreamCaller(
             loop, new UpstreamConnector(loop, dialer, paths, tunnels), connectionLimit, clock);
-    paths.onLost(caller::discardConnections);
+    paths.onSilent(caller::discardConnections);
     upstreams.onRetired(caller::retire);
     upstreams.onReplaced(caller::abort);
     mesh.onTunnelRequest(server::offer);
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamPathsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamPathsTests.java
@@ -36,7 +36,7 @@
 
   UpstreamPathsTests() {
     channel.freezeTime();
-    paths.onLost(silent::add);
+    paths.onSilent(silent::add);
   }
 
   // Guards against taking an upstream that is down for one behind a partition.
