--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ConnectionAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ConnectionAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -23,6 +24,7 @@
   private final TunnelConnector tunnels;
   private final UpstreamConnector.Listener listener;
   private @Nullable ChannelFuture direct;
+  private @Nullable Future<?> tunnelTimer;
   private PathCheck directResult = PathCheck.SILENT;
   private boolean directPending;
   private boolean tunnelStarted;
@@ -64,8 +66,9 @@
     ChannelFuture connecting = dialer.connect(target, UpstreamConnector.CONNECT_TIMEOUT);
     direct = connecting;
     connecting.addListener(done -> onDirect(connecting.channel(), connecting.cause()));
-    loop.schedule(
-        this::startTunnel, UpstreamConnector.TUNNEL_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    tunnelTimer =
+        loop.schedule(
+            this::startTunnel, UpstreamConnector.TUNNEL_DELAY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void onDirect(Channel channel, @Nullable Throwable cause) {
@@ -114,8 +117,7 @@
       channel.close();
       return;
     }
-    finished = true;
-    closePendingDirect();
+    finish();
     listener.onConnected(channel, usable);
   }
 
@@ -127,12 +129,19 @@
 
   private void fail() {
     if (!finished) {
-      finished = true;
-      closePendingDirect();
+      finish();
       listener.onFailed();
     }
   }
 
+  private void finish() {
+    finished = true;
+    if (tunnelTimer != null) {
+      tunnelTimer.cancel(false);
+    }
+    closePendingDirect();
+  }
+
   private void closePendingDirect() {
     if (directPending && direct != null) {
       direct.channel().close();
