Read again: plainer names of a reporter and a failure, comments, a stand-in in its test

The box that reports a revision was called a teller, the way in which a connection failed a sign; two bounds of the discovery package are said in usual words. The connector without tunnels, used by tests alone, lives with them.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/TunnelConnector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/TunnelConnector.java
@@ -14,20 +14,6 @@
  */
 public interface TunnelConnector {
 
-  /** Reaches no upstream. */
-  TunnelConnector NONE =
-      new TunnelConnector() {
-        @Override
-        public void connect(UpstreamRecord target, Consumer<Result> listener) {
-          listener.accept(new Result(PathCheck.UNAVAILABLE, Optional.empty()));
-        }
-
-        @Override
-        public void check(UpstreamRecord target, Consumer<PathCheck> listener) {
-          listener.accept(PathCheck.UNAVAILABLE);
-        }
-      };
-
   /**
    * A connection through another box. Its channel does not read automatically, so that handlers can
    * be added first.
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamPaths.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamPaths.java
@@ -125,14 +125,14 @@
   }
 
   /** Records that a direct connection could not be established, and how it failed. */
-  public void recordFailed(UpstreamRecord upstream, PathCheck sign) {
+  public void recordFailed(UpstreamRecord upstream, PathCheck failure) {
     if (!hasFailed(upstream)) {
       failedByIncarnation.put(upstream.incarnationId(), new FailedPath(clock.nanos()));
       events
           .change("upstream-not-connected")
           .with("upstream", upstream.id())
           .with("service", upstream.service())
-          .with("why", sign.name())
+          .with("why", failure.name())
           .write();
       scheduleCheck(upstream);
     }
@@ -151,10 +151,10 @@
    * Records that another box connected to an upstream to which a direct connection failed or takes
    * long.
    *
-   * @param sign how the direct connection failed
+   * @param failure how the direct connection failed
    */
-  public void recordReachedBy(String box, UpstreamRecord upstream, PathCheck sign) {
-    recordFailed(upstream, sign);
+  public void recordReachedBy(String box, UpstreamRecord upstream, PathCheck failure) {
+    recordFailed(upstream, failure);
     FailedPath path = failedByIncarnation.get(upstream.incarnationId());
     path.unreachable = false;
     if (path.lost) {
@@ -167,7 +167,7 @@
         .with("service", upstream.service())
         .with("reached-by", box)
         .write();
-    if (sign == PathCheck.SILENT) {
+    if (failure == PathCheck.SILENT) {
       silentListener.accept(upstream);
     }
     checkAll();
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/DepartedUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/DepartedUpstreams.java
@@ -12,7 +12,7 @@
  */
 final class DepartedUpstreams {
 
-  /** Some hours of replacing a hundred upstreams every few minutes; about 400 kB. */
+  /** Covers hours in which a hundred upstreams are replaced every few minutes; about 400 kB. */
   private static final int MAX_ENTRIES = 4096;
 
   private final Map<String, Long> latestStartById = new LinkedHashMap<>();
--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/ReappearedUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/ReappearedUpstreams.java
@@ -13,7 +13,7 @@
  */
 final class ReappearedUpstreams {
 
-  /** More than leave in the seconds by which a backup may be older; about 50 kB. */
+  /** More upstreams than leave within the age of a backup, which is seconds; about 50 kB. */
   private static final int MAX_ENTRIES = 512;
 
   private final Set<String> goneIncarnationIds = new LinkedHashSet<>();
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -240,12 +240,12 @@
     suspects.compareDigest(relayBox, heartbeat.quarantineDigest());
   }
 
-  private void applyHeartbeat(String teller, String box, Heartbeat heartbeat, long ageMillis) {
+  private void applyHeartbeat(String reporter, String box, Heartbeat heartbeat, long ageMillis) {
     peers.update(box, heartbeat.zone(), heartbeat.leaving(), heartbeat.weight(), ageMillis);
     backlogListener.accept(box, heartbeat.backlogMillis());
     knownBoxes.add(box);
     heartbeat.aliveBoxes().stream().filter(other -> !other.equals(self)).forEach(knownBoxes::add);
-    documents.scheduleConfigurationFetch(teller, box, heartbeat.configurationRevision());
+    documents.scheduleConfigurationFetch(reporter, box, heartbeat.configurationRevision());
     boolean trustChanged = listTrust.update(box, ListTrust.ofCode(heartbeat.listTrust()));
     listUpdates.onRevision(box, heartbeat.upstreamsRevision());
     boolean stateChanged = state.applyHeartbeat(box, heartbeat, ageMillis);
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/DocumentExchange.java
@@ -114,12 +114,12 @@
   /**
    * Requests a configuration unless this box has that revision after the delay.
    *
-   * @param teller box that reported the revision; asked first, so that a relay distributes the
+   * @param reporter box that reported the revision; asked first, so that a relay distributes the
    *     configuration to the boxes that it informs
    * @param holder box that has the revision
    */
-  void scheduleConfigurationFetch(String teller, String holder, long revision) {
-    List<String> boxes = teller.equals(holder) ? List.of(holder) : List.of(teller, holder);
+  void scheduleConfigurationFetch(String reporter, String holder, long revision) {
+    List<String> boxes = reporter.equals(holder) ? List.of(holder) : List.of(reporter, holder);
     configurationFetcher.scheduleFetch(boxes, revision, FETCH_DELAY_MILLIS);
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamConnectors.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamConnectors.java
@@ -2,6 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLogs;
 
 /** Creates connectors for tests. */
@@ -11,11 +14,6 @@
 
   /** Creates a connector that has no other boxes. */
   static UpstreamConnector withoutTunnels(EventLoop loop) {
-    return withTunnels(loop, TunnelConnector.NONE);
-  }
-
-  /** Creates a connector that reaches upstreams directly or through the given tunnels. */
-  static UpstreamConnector withTunnels(EventLoop loop, TunnelConnector tunnels) {
     DirectDialer dialer = new DirectDialer(loop);
     UpstreamPaths paths =
         new UpstreamPaths(
@@ -24,6 +22,20 @@
             EventLogs.silent(),
             List::of,
             (target, listener) -> dialer.check(target, UpstreamPaths.CHECK_TIMEOUT, listener));
-    return new UpstreamConnector(loop, dialer, paths, tunnels);
+    return new UpstreamConnector(loop, dialer, paths, new NoTunnels());
+  }
+
+  /** Reaches no upstream. */
+  private static final class NoTunnels implements TunnelConnector {
+
+    @Override
+    public void connect(UpstreamRecord target, Consumer<Result> listener) {
+      listener.accept(new Result(PathCheck.UNAVAILABLE, Optional.empty()));
+    }
+
+    @Override
+    public void check(UpstreamRecord target, Consumer<PathCheck> listener) {
+      listener.accept(PathCheck.UNAVAILABLE);
+    }
   }
 }
