Log the software versions a request was sent to and the stream it resumes

The version is read from the upstream's row, and boxes include it in the list that they give each other; Resumes is read from the request. Nothing is decided by either yet. A row without a version names an upstream of an unknown one; a version of another type makes the row unreadable, as for other fields.

--- a/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/discovery/UpstreamRecord.java
@@ -1,5 +1,6 @@
 package org.gradeledge.discovery;
 
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,6 +17,7 @@
  * @param slots number of requests that it processes concurrently
  * @param leaving whether it accepts no new requests
  * @param coldMillis remaining cold start time as last reported; not part of equality
+ * @param softwareVersion version of the software that it runs; empty if not reported
  * @since 0.2
  */
 public record UpstreamRecord(
@@ -27,12 +29,16 @@
     String zone,
     int slots,
     boolean leaving,
-    long coldMillis) {
+    long coldMillis,
+    Optional<String> softwareVersion) {
 
-  /** Creates a record of an upstream that does not report its start time and is not cold. */
+  /**
+   * Creates a record of an upstream that reports neither its start time nor its software version
+   * and is not cold.
+   */
   public UpstreamRecord(
       String id, String service, String host, int port, String zone, int slots, boolean leaving) {
-    this(id, 0, service, host, port, zone, slots, leaving, 0);
+    this(id, 0, service, host, port, zone, slots, leaving, 0, Optional.empty());
   }
 
   /**
@@ -45,7 +51,8 @@
 
   /** Returns a copy that is marked as leaving. */
   UpstreamRecord asLeaving() {
-    return new UpstreamRecord(id, born, service, host, port, zone, slots, true, coldMillis);
+    return new UpstreamRecord(
+        id, born, service, host, port, zone, slots, true, coldMillis, softwareVersion);
   }
 
   /** Returns the address as {@code host:port}. */
@@ -64,7 +71,8 @@
         && port == that.port
         && zone.equals(that.zone)
         && slots == that.slots
-        && leaving == that.leaving;
+        && leaving == that.leaving
+        && softwareVersion.equals(that.softwareVersion);
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/UpstreamListFormat.java
@@ -11,7 +11,7 @@
 final class UpstreamListFormat implements MessageFormat<UpstreamList> {
 
   private static final int FIELDS = 3;
-  private static final int RECORD_FIELDS = 9;
+  private static final int RECORD_FIELDS = 10;
   private static final String REVISION = "revision";
   private static final String UPSTREAMS = "upstreams";
   private static final String DOUBTED = "doubted";
@@ -24,6 +24,7 @@
   private static final String SLOTS = "slots";
   private static final String LEAVING = "leaving";
   private static final String COLD_MILLIS = "coldMillis";
+  private static final String SOFTWARE_VERSION = "softwareVersion";
 
   @Override
   public void write(MessagePacker packer, UpstreamList list) throws IOException {
@@ -47,6 +48,12 @@
     packer.packString(SLOTS).packInt(upstream.slots());
     packer.packString(LEAVING).packBoolean(upstream.leaving());
     packer.packString(COLD_MILLIS).packLong(upstream.coldMillis());
+    packer.packString(SOFTWARE_VERSION);
+    if (upstream.softwareVersion().isPresent()) {
+      packer.packString(upstream.softwareVersion().get());
+    } else {
+      packer.packNil();
+    }
   }
 
   @Override
@@ -68,6 +75,7 @@
         fields.getString(ZONE),
         fields.getInt(SLOTS),
         fields.getBoolean(LEAVING),
-        fields.getLongOrDefault(COLD_MILLIS, 0));
+        fields.getLongOrDefault(COLD_MILLIS, 0),
+        fields.getOptionalString(SOFTWARE_VERSION));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.LinkedHashSet;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.deployment.RouteDefinition;
@@ -15,6 +17,7 @@
   private static final long MIN_RETRY_AFTER_MILLIS = 300;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_500;
   private static final double RETRY_JITTER = 0.5;
+  private static final String UNKNOWN_VERSION = "unknown";
 
   private final RelayServices services;
   private final AdmittedRequest admitted;
@@ -26,6 +29,7 @@
   private final UpstreamCandidates candidates;
   private final CallerResponse response;
   private final StringBuilder attemptTrace = new StringBuilder();
+  private final Set<String> softwareVersions = new LinkedHashSet<>();
   private long stagesMillis = -1;
   private long firstEventMillis = -1;
   private long retryAfterMillis = MIN_RETRY_AFTER_MILLIS;
@@ -76,6 +80,7 @@
   void attemptSent(UpstreamRecord upstream, int attemptNumber) {
     attemptTrace.append(attemptNumber > 1 ? " > " : "").append(upstream.id()).append('@');
     attemptTrace.append(clock.elapsedMillis());
+    softwareVersions.add(upstream.softwareVersion().orElse(UNKNOWN_VERSION));
   }
 
   void attemptNotRun(UpstreamRecord upstream, int status) {
@@ -147,6 +152,9 @@
         .with("stages", timeline.toString())
         .with("priority", admitted.priority())
         .with("upstreams", attemptTrace.toString())
+        .with("versions", String.join(",", softwareVersions))
+        .with("resumes", request.resumedRequestId().orElse(""))
+        .with("last-event", request.lastEventId().orElse(""))
         .with("passed-over", candidates.skippedIds())
         .write();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
@@ -18,6 +18,8 @@
  * @param deadlineMillis how long the caller waits, if it sent a deadline
  * @param accountKey key of a client account
  * @param lastEventId id of the last event of a stream that the caller has received
+ * @param resumedRequestId id of the request that the caller resumes: the one that brought the first
+ *     event of the stream
  * @param promptParts parts of the prompt, shared ones first
  * @param maxTokens total tokens of the prompt and of the longest possible answer
  * @param pieceCounts number of pieces by stage
@@ -35,6 +37,7 @@
     Optional<Long> deadlineMillis,
     Optional<String> accountKey,
     Optional<String> lastEventId,
+    Optional<String> resumedRequestId,
     List<PromptPart> promptParts,
     long maxTokens,
     List<Integer> pieceCounts,
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/RestartedBatchUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/RestartedBatchUpstreamTests.java
@@ -84,6 +84,7 @@
   }
 
   private static UpstreamRecord incarnation(long born) {
-    return new UpstreamRecord("u1", born, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+    return new UpstreamRecord(
+        "u1", born, "service", "10.0.0.1", 1, "zone", 1, false, 0, Optional.empty());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/AnnouncedLeavingTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/AnnouncedLeavingTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -208,10 +209,12 @@
   }
 
   private static UpstreamRecord incarnation(long startedAtMillis) {
-    return new UpstreamRecord("id", startedAtMillis, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+    return new UpstreamRecord(
+        "id", startedAtMillis, "service", "10.0.0.1", 1, "zone", 1, false, 0, Optional.empty());
   }
 
   private static UpstreamRecord otherUpstream() {
-    return new UpstreamRecord("other", 1, "service", "10.0.0.2", 1, "zone", 1, false, 0);
+    return new UpstreamRecord(
+        "other", 1, "service", "10.0.0.2", 1, "zone", 1, false, 0, Optional.empty());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/RestartedUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/RestartedUpstreamTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -113,6 +114,6 @@
 
   private static UpstreamRecord incarnation(long startedAtMillis, boolean leaving) {
     return new UpstreamRecord(
-        "id", startedAtMillis, "service", "10.0.0.1", 1, "zone", 1, leaving, 0);
+        "id", startedAtMillis, "service", "10.0.0.1", 1, "zone", 1, leaving, 0, Optional.empty());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRecordTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/discovery/UpstreamRecordTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.gradeledge.peer.PeerAddress;
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +24,8 @@
     assertThat(
             List.of(
                 new UpstreamRecord("other", "service", "10.0.0.1", 1, "zone", 2, false),
-                new UpstreamRecord("id", 7, "service", "10.0.0.1", 1, "zone", 2, false, 0),
+                new UpstreamRecord(
+                    "id", 7, "service", "10.0.0.1", 1, "zone", 2, false, 0, Optional.empty()),
                 new UpstreamRecord("id", "other", "10.0.0.1", 1, "zone", 2, false),
                 new UpstreamRecord("id", "service", "10.0.0.2", 1, "zone", 2, false),
                 new UpstreamRecord("id", "service", "10.0.0.1", 2, "zone", 2, false),
@@ -35,8 +37,10 @@
 
   @Test
   void incarnationsWithTheSameIdHaveDistinctIncarnationIds() {
-    UpstreamRecord first = new UpstreamRecord("id", 7, "s", "10.0.0.1", 1, "z", 2, false, 0);
-    UpstreamRecord second = new UpstreamRecord("id", 8, "s", "10.0.0.1", 1, "z", 2, false, 0);
+    UpstreamRecord first =
+        new UpstreamRecord("id", 7, "s", "10.0.0.1", 1, "z", 2, false, 0, Optional.empty());
+    UpstreamRecord second =
+        new UpstreamRecord("id", 8, "s", "10.0.0.1", 1, "z", 2, false, 0, Optional.empty());
 
     assertThat(first.incarnationId()).isNotEqualTo(second.incarnationId());
     assertThat(UPSTREAM.incarnationId()).isEqualTo("id");
--- a/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamBackoffsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamBackoffsTests.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -112,7 +113,8 @@
   @Test
   void backoffAppliesToOneIncarnation() {
     UpstreamRecord nextIncarnation =
-        new UpstreamRecord("u1", 7, "service", "127.0.0.1", 1, "zone", 8, false, 0);
+        new UpstreamRecord(
+            "u1", 7, "service", "127.0.0.1", 1, "zone", 8, false, 0, Optional.empty());
     requestBackoff(UPSTREAM, 60_000);
 
     assertThat(backoffs.admits(upstream(2))).isTrue();
--- a/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamLimitsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/limit/UpstreamLimitsTests.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.RecordedEvents;
@@ -185,6 +186,7 @@
   }
 
   private static UpstreamRecord upstream(String id, long born) {
-    return new UpstreamRecord(id, born, "service", "127.0.0.1", 1, "zone", 8, false, 0);
+    return new UpstreamRecord(
+        id, born, "service", "127.0.0.1", 1, "zone", 8, false, 0, Optional.empty());
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/LeavingUpstreamExchangeTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/LeavingUpstreamExchangeTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -16,9 +17,9 @@
 class LeavingUpstreamExchangeTests {
 
   private static final UpstreamRecord UPSTREAM =
-      new UpstreamRecord("id", 10, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+      new UpstreamRecord("id", 10, "service", "10.0.0.1", 1, "zone", 1, false, 0, Optional.empty());
   private static final UpstreamRecord NEXT_INCARNATION =
-      new UpstreamRecord("id", 20, "service", "10.0.0.1", 1, "zone", 1, false, 0);
+      new UpstreamRecord("id", 20, "service", "10.0.0.1", 1, "zone", 1, false, 0, Optional.empty());
   private static final int FEW = 3;
   private static final int MANY = 18;
 
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/MeshFormatsTests.java
@@ -107,7 +107,8 @@
               RandomMessages.text(random),
               random.nextInt(200),
               random.nextBoolean(),
-              random.nextInt(9_000)));
+              random.nextInt(9_000),
+              Optional.of(RandomMessages.text(random)).filter(text -> random.nextBoolean())));
     }
     assertMatchesBinding(
         new UpstreamListFormat(),
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -162,6 +162,7 @@
                 Optional.empty(),
                 Optional.of("known-key"),
                 Optional.empty(),
+                Optional.empty(),
                 List.of(),
                 0,
                 pieces,
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
@@ -229,6 +229,7 @@
             Optional.empty(),
             Optional.empty(),
             Optional.empty(),
+            Optional.empty(),
             List.of(),
             0,
             List.of(pieces),
--- a/gradeledge-core/src/test/java/org/gradeledge/selection/ColdStartLimiterTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/selection/ColdStartLimiterTests.java
@@ -27,7 +27,8 @@
   private static final Duration AFTER_PEER_DISCOVERY = Duration.ofSeconds(10);
 
   private static final UpstreamRecord COLD_UPSTREAM =
-      new UpstreamRecord("id", 0, "service", "127.0.0.1", 1, "zone", 24, false, COLD_MILLIS);
+      new UpstreamRecord(
+          "id", 0, "service", "127.0.0.1", 1, "zone", 24, false, COLD_MILLIS, Optional.empty());
 
   private long nowNanos;
   private final MonotonicClock clock = () -> nowNanos;
