--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineConnection.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineConnection.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
 
@@ -38,12 +39,12 @@
     return reset(socket);
   }
 
-  /** Sends an event stream with a delay before each event. */
-  boolean sendSlowly(ReceivedRequest request) throws IOException {
+  /** Sends an event stream with a delay before each of its events. */
+  boolean sendSlowly(ReceivedRequest request, List<String> events) throws IOException {
     send(RawHttpResponse.eventStreamHead(request, FleetEngineResponses.CHUNKED));
-    for (int event = 1; event <= FleetEngine.EVENTS; event++) {
+    for (String event : events) {
       LockSupport.parkNanos(EVENT_DELAY_NANOS);
-      send(RawHttpResponse.chunk("id: " + event + "\ndata: piece " + event + "\n\n"));
+      send(RawHttpResponse.chunk(event));
     }
     return send("0\r\n\r\n");
   }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -19,8 +19,12 @@
   /** Number of events in a complete stream. */
   public static final int EVENTS = 6;
 
+  /** Software version of engines that are created without one. */
+  public static final String DEFAULT_VERSION = "v1";
+
   private final String id;
   private final EngineKind kind;
+  private final String softwareVersion;
   private volatile ServerSocket listener;
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final List<ReceivedRequest> executedRequests = new CopyOnWriteArrayList<>();
@@ -35,11 +39,20 @@
   private volatile Optional<String> crashBody = Optional.empty();
   private volatile boolean down;
 
-  /** Starts an engine on a free port. */
+  /** Starts an engine of the default software version on a free port. */
   public FleetEngine(String id, EngineKind kind) {
+    this(id, kind, DEFAULT_VERSION);
+  }
+
+  /**
+   * Starts an engine on a free port. Its events name its software version, which it never checks.
+   */
+  public FleetEngine(String id, EngineKind kind, String softwareVersion) {
     this.id = id;
     this.kind = kind;
-    this.responses = new FleetEngineResponses(id, kind, () -> address() + "/" + incarnation());
+    this.softwareVersion = softwareVersion;
+    this.responses =
+        new FleetEngineResponses(id, kind, softwareVersion, () -> address() + "/" + incarnation());
     this.listener = listen();
   }
 
@@ -63,6 +76,11 @@
     return kind;
   }
 
+  /** Returns the software version of the engine. */
+  public String softwareVersion() {
+    return softwareVersion;
+  }
+
   /** Returns the address of the engine. */
   public String address() {
     return "127.0.0.1:" + listener.getLocalPort();
@@ -157,9 +175,9 @@
   /** Returns the store row of the current incarnation. */
   public String row(String service, String zone, String state) {
     return String.format(
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":8,"
             + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%d}",
-        service, address(), zone, state, startedAtMillis);
+        service, address(), zone, softwareVersion, state, startedAtMillis);
   }
 
   private void accept(ServerSocket serverSocket) {
@@ -217,7 +235,7 @@
     return switch (fault) {
       case ANSWER_LOST -> caller.reset();
       case HANG -> caller.hang();
-      case SLOW -> caller.sendSlowly(request);
+      case SLOW -> caller.sendSlowly(request, responses.events(request, EVENTS));
       case ERROR ->
           caller.send(RawHttpResponse.withBody(request, 500, "X-Response-Stamp: s\r\n", "failed"));
       case CUT -> caller.sendAndClose(responses.truncated(request));
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngineResponses.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngineResponses.java
@@ -1,6 +1,7 @@
 package org.gradeledge.standin.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -17,6 +18,7 @@
 
   private final String id;
   private final EngineKind kind;
+  private final String softwareVersion;
   private final Supplier<String> handlePrefix;
   private final AtomicInteger handleCount = new AtomicInteger();
 
@@ -25,9 +27,11 @@
    *
    * @param handlePrefix supplies the prefix of the result handles of the current incarnation
    */
-  FleetEngineResponses(String id, EngineKind kind, Supplier<String> handlePrefix) {
+  FleetEngineResponses(
+      String id, EngineKind kind, String softwareVersion, Supplier<String> handlePrefix) {
     this.id = id;
     this.kind = kind;
+    this.softwareVersion = softwareVersion;
     this.handlePrefix = handlePrefix;
   }
 
@@ -38,7 +42,7 @@
           RawHttpResponse.withBody(request, 200, "X-Response-Stamp: s\r\n", plainBody(request));
       case STREAM ->
           RawHttpResponse.eventStreamHead(request, CHUNKED)
-              + events(request, FleetEngine.EVENTS)
+              + chunks(request, FleetEngine.EVENTS)
               + "0\r\n\r\n";
       case STAGE -> RawHttpResponse.withBody(request, 200, "", stageBody(request));
     };
@@ -48,7 +52,7 @@
   String truncated(ReceivedRequest request) {
     return kind == EngineKind.STREAM
         ? RawHttpResponse.eventStreamHead(request, CHUNKED)
-            + events(request, EVENTS_BEFORE_CUT)
+            + chunks(request, EVENTS_BEFORE_CUT)
             + RawHttpResponse.chunk("id: 99\ndata: pie")
         : RawHttpResponse.withBody(request, 200, "X-Response-Stamp: s\r\n", plainBody(request))
             .replace("answer", "");
@@ -69,12 +73,23 @@
     return handlePrefix.get() + "-" + handleCount.incrementAndGet();
   }
 
-  private static String events(ReceivedRequest request, int lastEvent) {
+  private String chunks(ReceivedRequest request, int lastEvent) {
+    return events(request, lastEvent).stream()
+        .map(RawHttpResponse::chunk)
+        .collect(Collectors.joining());
+  }
+
+  /** Returns the events of a stream up to the given one that the caller does not have yet. */
+  List<String> events(ReceivedRequest request, int lastEvent) {
     String lastEventId = request.header("Last-Event-Id");
     int firstEvent = lastEventId.isEmpty() ? 1 : Integer.parseInt(lastEventId) + 1;
     return IntStream.rangeClosed(firstEvent, lastEvent)
-        .mapToObj(
-            number -> RawHttpResponse.chunk("id: " + number + "\ndata: piece " + number + "\n\n"))
-        .collect(Collectors.joining());
+        .mapToObj(number -> event(number, softwareVersion))
+        .toList();
+  }
+
+  /** Returns an event of a stream. */
+  static String event(int number, String softwareVersion) {
+    return "id: " + number + "\ndata: piece " + number + " by " + softwareVersion + "\n\n";
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -50,7 +50,12 @@
   }
 
   FleetEngine addEngine(String service, EngineKind kind) {
-    FleetEngine engine = new FleetEngine("i-" + service + "-" + engines.size(), kind);
+    return addEngine(service, kind, FleetEngine.DEFAULT_VERSION);
+  }
+
+  FleetEngine addEngine(String service, EngineKind kind, String softwareVersion) {
+    FleetEngine engine =
+        new FleetEngine("i-" + service + "-" + engines.size(), kind, softwareVersion);
     engines.add(engine);
     putServerRow(engine, "ready");
     return engine;
@@ -126,6 +131,12 @@
         .count();
   }
 
+  /** Stops a box without a shutdown; its state in memory is lost. */
+  void killBox(int index) {
+    LoopResources resources = loopResources.get(index);
+    resources.disposeLater(Duration.ZERO, TIMEOUT).block(TIMEOUT);
+  }
+
   /** Stops all boxes at once without a shutdown; their state in memory is lost. */
   void killAllBoxes() {
     loopResources.forEach(
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetRelayTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetRelayTests.java
@@ -183,7 +183,7 @@
   private static String eventStream(int firstId) {
     StringBuilder events = new StringBuilder();
     IntStream.rangeClosed(firstId, FleetEngine.EVENTS)
-        .forEach(id -> events.append("id: " + id + "\ndata: piece " + id + "\n\n"));
+        .forEach(id -> events.append(FleetEngineResponses.event(id, FleetEngine.DEFAULT_VERSION)));
     return events.toString();
   }
 
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
@@ -0,0 +1,111 @@
+package org.gradeledge.standin.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.UUID;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+
+/**
+ * A caller of one stream. It keeps the events of all its requests, and resumes the stream after the
+ * last event that it received. Not thread-safe.
+ */
+final class StreamCaller {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final Pattern DATA = Pattern.compile("data: piece (\\d+) by (\\S+)");
+  private static final int OK = 200;
+  private static final List<Integer> ALL_EVENTS =
+      IntStream.rangeClosed(1, FleetEngine.EVENTS).boxed().toList();
+
+  private final HttpClient client = FleetCaller.newClient();
+  private final List<Integer> events = new ArrayList<>();
+  private final Set<String> versions = new TreeSet<>();
+  private Optional<String> firstRequestId = Optional.empty();
+  private Optional<String> retryAfter = Optional.empty();
+
+  /**
+   * Sends a request to the box with the given port, which resumes the stream if it has begun.
+   * Returns the status of the response; the stream may have ended early nonetheless.
+   */
+  int send(int port, String path) throws IOException, InterruptedException {
+    String id = UUID.randomUUID().toString();
+    HttpResponse<InputStream> response =
+        client.send(request(port, path, id), HttpResponse.BodyHandlers.ofInputStream());
+    retryAfter = response.headers().firstValue("Retry-After");
+    if (response.statusCode() == OK) {
+      readEvents(id, response.body());
+    }
+    response.body().close();
+    return response.statusCode();
+  }
+
+  private HttpRequest request(int port, String path, String id) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .timeout(TIMEOUT)
+            .header("X-Request-Id", id)
+            .header("X-Deadline-Ms", "9000")
+            .header("Authorization", "Bearer " + FleetConfiguration.API_KEY)
+            .POST(HttpRequest.BodyPublishers.ofString("a body"));
+    firstRequestId.ifPresent(first -> builder.header("Resumes", first));
+    lastEvent().ifPresent(event -> builder.header("Last-Event-Id", event.toString()));
+    return builder.build();
+  }
+
+  private void readEvents(String requestId, InputStream body) {
+    try (BufferedReader lines =
+        new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8))) {
+      lines.lines().forEach(line -> readLine(requestId, line));
+    } catch (IOException | java.io.UncheckedIOException e) {
+      // The stream ended early.
+    }
+  }
+
+  private void readLine(String requestId, String line) {
+    Matcher data = DATA.matcher(line);
+    if (data.matches()) {
+      firstRequestId = firstRequestId.or(() -> Optional.of(requestId));
+      events.add(Integer.parseInt(data.group(1)));
+      versions.add(data.group(2));
+    }
+  }
+
+  private Optional<Integer> lastEvent() {
+    return events.isEmpty() ? Optional.empty() : Optional.of(events.get(events.size() - 1));
+  }
+
+  /** Returns the software versions of the upstreams that sent the events. */
+  Set<String> versions() {
+    return versions;
+  }
+
+  /** Returns whether all events were received once and in order. */
+  boolean isComplete() {
+    return events.equals(ALL_EVENTS);
+  }
+
+  /** Returns whether any event was received. */
+  boolean hasBegun() {
+    return !events.isEmpty();
+  }
+
+  /** Returns the retry delay in the last response, in seconds. */
+  Optional<String> retryAfter() {
+    return retryAfter;
+  }
+}
