Fix ORDER within an answer: continue a stream only at its software version

Cause: candidates of a request were all usable upstreams of its service, before and after the first event. With the first event that is forwarded the candidates are now those of the same service and software version, for all that chooses among them: retry, after a 421, limits, backoff, dispatch queue, forecasts. If there is none the answer ends as broken at once. An upstream of an unknown version is continued by none. Requests restricted to a version wait in a queue of their own, as one that waits for its version would hold up those that may go elsewhere.

FleetSoftwareVersionTests.continuesInterruptedStreamsAtTheirVersionOnly failed before.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/DispatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/DispatchQueue.java
@@ -12,8 +12,8 @@
 
 /**
  * Queue of requests that have not been sent to an upstream yet: requests that wait until an
- * upstream of their service accepts them, and requests whose stage work is in flight. Ordered by
- * priority, then by arrival. Confined to the event loop.
+ * upstream accepts them, and requests whose stage work is in flight. Requests with the same
+ * candidates are ordered by priority, then by arrival. Confined to the event loop.
  */
 final class DispatchQueue {
 
@@ -23,20 +23,29 @@
   /** A request in the queue. */
   static final class QueuedRequest {
 
-    private final String service;
+    private final String queueName;
     private final int priority;
     private final Runnable dispatch;
     private boolean waiting;
 
-    QueuedRequest(String service, int priority, Runnable dispatch) {
-      this.service = service;
+    /**
+     * Creates a request that is not in the queue.
+     *
+     * @param queueName name that requests with the same candidates share
+     */
+    QueuedRequest(String queueName, int priority, Runnable dispatch) {
+      this.queueName = queueName;
       this.priority = priority;
       this.dispatch = dispatch;
     }
+
+    String queueName() {
+      return queueName;
+    }
   }
 
   private final EventLoop loop;
-  private final Map<String, Set<QueuedRequest>> requestsByService = new HashMap<>();
+  private final Map<String, Set<QueuedRequest>> requestsByQueue = new HashMap<>();
   private boolean scheduled;
 
   DispatchQueue(EventLoop loop) {
@@ -45,9 +54,7 @@
 
   /** Adds a request that is not ready to be sent yet. */
   void add(QueuedRequest request) {
-    requestsByService
-        .computeIfAbsent(request.service, service -> new LinkedHashSet<>())
-        .add(request);
+    requestsByQueue.computeIfAbsent(request.queueName, name -> new LinkedHashSet<>()).add(request);
   }
 
   /**
@@ -62,15 +69,15 @@
 
   /** Removes a request that was sent or has ended. */
   void remove(QueuedRequest request) {
-    requestsByService.computeIfPresent(
-        request.service,
-        (service, requests) -> {
+    requestsByQueue.computeIfPresent(
+        request.queueName,
+        (name, requests) -> {
           requests.remove(request);
           return requests.isEmpty() ? null : requests;
         });
   }
 
-  /** Returns how many requests for the same service are ahead of this one. */
+  /** Returns how many requests with the same candidates are ahead of this one. */
   long countAhead(QueuedRequest request) {
     return requestsAhead(request).count();
   }
@@ -81,7 +88,7 @@
   }
 
   private Stream<QueuedRequest> requestsAhead(QueuedRequest request) {
-    Set<QueuedRequest> requests = requestsByService.getOrDefault(request.service, Set.of());
+    Set<QueuedRequest> requests = requestsByQueue.getOrDefault(request.queueName, Set.of());
     return Stream.concat(
         requests.stream().filter(each -> each.priority < request.priority),
         requests.stream()
@@ -98,12 +105,12 @@
 
   private void poll() {
     scheduled = false;
-    Set.copyOf(requestsByService.keySet()).forEach(this::dispatch);
+    Set.copyOf(requestsByQueue.keySet()).forEach(this::dispatch);
   }
 
   /** Dispatches waiting requests in order until one has to wait again. */
-  private void dispatch(String service) {
-    Optional<QueuedRequest> waitingRequest = nextWaiting(service);
+  private void dispatch(String queueName) {
+    Optional<QueuedRequest> waitingRequest = nextWaiting(queueName);
     while (waitingRequest.isPresent()) {
       QueuedRequest request = waitingRequest.get();
       request.waiting = false;
@@ -111,12 +118,12 @@
       if (request.waiting) {
         return;
       }
-      waitingRequest = nextWaiting(service);
+      waitingRequest = nextWaiting(queueName);
     }
   }
 
-  private Optional<QueuedRequest> nextWaiting(String service) {
-    return requestsByService.getOrDefault(service, Set.of()).stream()
+  private Optional<QueuedRequest> nextWaiting(String queueName) {
+    return requestsByQueue.getOrDefault(queueName, Set.of()).stream()
         .filter(request -> request.waiting)
         .min(Comparator.comparingInt(request -> request.priority));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
@@ -1,27 +1,35 @@
 package org.gradeledge.relay;
 
 import java.util.Optional;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.resumption.StreamOrigin;
 
 /** Tracks how much of a stream was forwarded to the caller. Confined to the event loop. */
 final class ForwardedStream {
 
+  private final UpstreamCandidates candidates;
   private Optional<String> lastEventId;
   private boolean started;
 
+  /** Creates a stream of which nothing was forwarded. */
+  ForwardedStream(ExchangeContext context) {
+    this.candidates = context.candidates();
+    this.lastEventId = context.admitted().request().lastEventId();
+  }
+
   /**
-   * Creates a stream of which nothing was forwarded.
+   * Marks the stream as started; from then on only upstreams that can continue it are candidates.
    *
-   * @param resumeAfter id of the event after which the caller resumes the stream
+   * @param upstream the upstream that sent the first event
+   * @return whether the stream was not started before
    */
-  ForwardedStream(Optional<String> resumeAfter) {
-    this.lastEventId = resumeAfter;
-  }
-
-  /** Marks the stream as started; returns whether it was not started before. */
-  boolean start() {
-    boolean first = !started;
+  boolean start(UpstreamRecord upstream) {
+    if (started) {
+      return false;
+    }
     started = true;
-    return first;
+    candidates.restrictTo(StreamOrigin.of(upstream));
+    return true;
   }
 
   boolean isStarted() {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
@@ -23,6 +23,11 @@
   STOPPING(503, true),
   /** No upstream of the service accepts new requests. */
   NO_UPSTREAM(503, true),
+  /** No upstream of the software version that began the stream accepts new requests. */
+  NO_UPSTREAM_OF_VERSION(
+      503,
+      "No server of the software version that began this stream is left to resume it. It was not"
+          + " run.\n"),
   /** All upstreams that were tried rejected the request. */
   UPSTREAMS_FULL(503, true),
   /** No upstream accepts the request before its target time. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -45,7 +45,7 @@
     this.outcome = context.outcome();
     this.stagePlan = context.stagePlan();
     this.onFinished = onFinished;
-    this.stream = new ForwardedStream(admitted.request().lastEventId());
+    this.stream = new ForwardedStream(context);
   }
 
   void start() {
@@ -227,7 +227,7 @@
 
   @Override
   public void eventsReceived(StreamAttempt source, ByteBuf events) {
-    if (stream.start()) {
+    if (stream.start(source.upstream())) {
       stagePlan.releaseAll();
       outcome.beginStream(source.status(), source.headers());
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestDispatcher.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestDispatcher.java
@@ -18,21 +18,35 @@
   private static final double MAX_WAIT_SHARE_OF_TARGET = 0.5;
 
   private final DispatchQueue queue;
-  private final DispatchQueue.QueuedRequest queued;
+  private final int priority;
+  private final Runnable dispatch;
   private final UpstreamCandidates candidates;
   private final RequestClock clock;
   private final ExchangeOutcome outcome;
+  private DispatchQueue.QueuedRequest queued;
 
   RequestDispatcher(ExchangeContext context, Runnable dispatch) {
     this.queue = context.queue();
-    this.queued =
-        new DispatchQueue.QueuedRequest(
-            context.admitted().service(), context.admitted().priority(), dispatch);
+    this.priority = context.admitted().priority();
+    this.dispatch = dispatch;
     this.candidates = context.candidates();
+    this.queued = newQueuedRequest();
     this.clock = context.clock();
     this.outcome = context.outcome();
   }
 
+  private DispatchQueue.QueuedRequest newQueuedRequest() {
+    return new DispatchQueue.QueuedRequest(candidates.queueName(), priority, dispatch);
+  }
+
+  /** Moves the request to the queue of its candidates, which a started stream restricts. */
+  private void updateQueue() {
+    if (!queued.queueName().equals(candidates.queueName())) {
+      queue.remove(queued);
+      queued = newQueuedRequest();
+    }
+  }
+
   /** Removes the request from the queue. */
   void leaveQueue() {
     queue.remove(queued);
@@ -43,6 +57,7 @@
    * calls neither while the request waits.
    */
   void chooseUpstream(Consumer<UpstreamRecord> send, Consumer<Refusal> refuse) {
+    updateQueue();
     Optional<UpstreamRecord> upstream =
         isReservedForOthers() ? Optional.empty() : candidates.chooseNext();
     if (upstream.isPresent()) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -7,10 +7,12 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.limit.SendLimiter;
+import org.gradeledge.resumption.StreamOrigin;
 import org.gradeledge.selection.Demand;
 
 /** The upstreams that one request may be sent to; each is tried once. */
@@ -26,19 +28,41 @@
   private long preferredZoneBytes;
   private final Set<String> tried = new HashSet<>();
   private final Set<String> skipped = new LinkedHashSet<>();
+  private Predicate<UpstreamRecord> eligible = upstream -> true;
+  private String queueName;
 
   UpstreamCandidates(RelayServices services, String service, RelayRequest request) {
     this.services = services;
     this.service = service;
     this.request = request;
     this.preferredZone = services.zone();
+    this.queueName = service;
+  }
+
+  /**
+   * Restricts the candidates to the upstreams that can continue a stream.
+   *
+   * @param origin origin of the stream; if it is unknown, no upstream can
+   */
+  void restrictTo(Optional<StreamOrigin> origin) {
+    eligible = upstream -> origin.filter(each -> each.matches(upstream)).isPresent();
+    queueName = service + " " + origin.map(StreamOrigin::softwareVersion).orElse("");
+  }
+
+  /** Returns the name of the queue that requests with the same candidates wait in. */
+  String queueName() {
+    return queueName;
+  }
+
+  private List<UpstreamRecord> usable() {
+    return services.upstreams().usable(service).stream().filter(eligible).toList();
   }
 
   /** Returns the availability zone of the upstream that would be chosen now. */
   String likelyZone() {
     return services
         .chooser()
-        .choose(services.upstreams().usable(service), demand())
+        .choose(usable(), demand())
         .map(UpstreamRecord::zone)
         .orElse(preferredZone);
   }
@@ -79,8 +103,7 @@
   }
 
   private Stream<UpstreamRecord> untried() {
-    return services.upstreams().usable(service).stream()
-        .filter(each -> !tried.contains(each.incarnationId()));
+    return usable().stream().filter(each -> !tried.contains(each.incarnationId()));
   }
 
   /**
@@ -108,7 +131,7 @@
    * tried.
    */
   OptionalDouble millisUntilAny() {
-    return services.upstreams().usable(service).stream()
+    return usable().stream()
         .mapToDouble(each -> services.sendLimiter().millisUntilAdmitted(each, 0))
         .min();
   }
@@ -129,6 +152,9 @@
     if (services.upstreams().usable(service).isEmpty()) {
       return Refusal.NO_UPSTREAM;
     }
+    if (usable().isEmpty()) {
+      return Refusal.NO_UPSTREAM_OF_VERSION;
+    }
     return untried().findAny().isPresent() ? Refusal.UPSTREAMS_LIMITED : Refusal.UPSTREAMS_FULL;
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Timeout;
 
 /** Tests streams while upstreams of several software versions serve the same service. */
-@Tag("known-red")
 @Timeout(120)
 class FleetSoftwareVersionTests {
 
@@ -28,6 +27,7 @@
   }
 
   // Guards against resuming a caller's stream at another software version, and against refusing it.
+  @Tag("known-red")
   @Test
   void resumesStreamsOfCallersAtTheirVersionOnly() throws Exception {
     startBoxes("v1", "v1", "v2", "v2");
@@ -58,6 +58,7 @@
   }
 
   // Guards against losing the version of a stream together with the box that forwarded its start.
+  @Tag("known-red")
   @Test
   void resumesStreamsOfAKilledBox() throws Exception {
     startBoxes("v1", "v1", "v2", "v2");
@@ -73,6 +74,7 @@
   }
 
   // Guards against holding a stream, or resuming it elsewhere, after the last of its version left.
+  @Tag("known-red")
   @Test
   void refusesResumptionOnceNoUpstreamOfTheVersionIsLeft() throws Exception {
     startBoxes("v1");
