Ask the next three boxes for a stream that the first three do not know

Boxes that join, or start again empty, since a stream began may take the place of those that store its record. The three that follow in the order are asked then. This replaces the question to boxes known for 20 s, which a box that has just started could not put.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/OriginExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/OriginExchange.java
@@ -4,12 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.gradeledge.peer.PeerNetwork;
@@ -37,16 +35,17 @@
    */
   private static final int MAX_STORING_BOXES = 64;
 
-  /** Boxes that joined later may not have been known when the stream began. */
-  private static final Duration ESTABLISHED_AFTER = Duration.ofSeconds(20);
-
   /** Bounds the wait for a box that does not respond. */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(300);
 
-  /** A box that does not know its peers yet may ask the wrong ones at first. */
-  private static final int MAX_ROUNDS = 2;
+  /**
+   * Boxes that joined since the stream began may have replaced those that store its record, which
+   * then follow in the order.
+   */
+  private static final int MAX_ASKED = 2 * REPLICAS;
 
-  private static final long ROUND_PAUSE_MILLIS = 100;
+  /** Time for a box that does not know its peers yet to hear of them. */
+  private static final long DISCOVERY_PAUSE_MILLIS = 100;
 
   /** Keeps messages small that hand over many records. */
   private static final int MAX_RECORDS_PER_MESSAGE = 256;
@@ -58,7 +57,6 @@
   private final MeshConnections connections;
   private final EventLoop loop;
   private final StreamOrigins origins;
-  private final ReplicaSelector selector = new ReplicaSelector(REPLICAS);
   private Set<String> pooledBoxes = Set.of();
   private List<String> pool = List.of();
 
@@ -121,30 +119,42 @@
 
   @Override
   public void find(String requestId, Consumer<Set<StreamOrigin>> listener) {
-    ask(requestId, 1, listener);
+    List<String> boxes = select(requestId, MAX_ASKED);
+    ask(
+        boxes.stream().limit(REPLICAS).toList(),
+        requestId,
+        found -> {
+          if (found.isEmpty()) {
+            findElsewhere(boxes, requestId, listener);
+          } else {
+            listener.accept(found);
+          }
+        });
+  }
+
+  /** Asks the boxes that follow, after a pause if this box may have asked the wrong ones. */
+  private void findElsewhere(
+      List<String> boxes, String requestId, Consumer<Set<StreamOrigin>> listener) {
+    if (peers.isDiscoveryComplete()) {
+      ask(boxes.stream().skip(REPLICAS).toList(), requestId, listener);
+    } else {
+      loop.schedule(
+          () -> ask(select(requestId, MAX_ASKED), requestId, listener),
+          DISCOVERY_PAUSE_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
   }
 
-  private void ask(String requestId, int round, Consumer<Set<StreamOrigin>> listener) {
-    AtomicBoolean incomplete = new AtomicBoolean(!peers.isDiscoveryComplete());
-    Flux.fromIterable(askedBoxes(requestId))
-        .flatMap(box -> ask(box, requestId).doOnError(e -> incomplete.set(true)).onErrorComplete())
+  /** Asks boxes at the same time; the first that knows the stream decides. */
+  private void ask(List<String> boxes, String requestId, Consumer<Set<StreamOrigin>> listener) {
+    Flux.fromIterable(boxes)
+        .filter(box -> !box.equals(self))
+        .flatMap(box -> ask(box, requestId).onErrorComplete())
         .filter(answer -> !answer.records().isEmpty())
         .next()
         .map(OriginExchange::origins)
         .defaultIfEmpty(Set.of())
-        .subscribe(
-            found ->
-                loop.execute(
-                    () -> {
-                      if (found.isEmpty() && incomplete.get() && round < MAX_ROUNDS) {
-                        loop.schedule(
-                            () -> ask(requestId, round + 1, listener),
-                            ROUND_PAUSE_MILLIS,
-                            TimeUnit.MILLISECONDS);
-                      } else {
-                        listener.accept(found);
-                      }
-                    }));
+        .subscribe(found -> loop.execute(() -> listener.accept(found)));
   }
 
   private Mono<OriginRecords> ask(String box, String requestId) {
@@ -162,20 +172,18 @@
     return answer.records().stream().map(OriginRecord::origin).collect(Collectors.toSet());
   }
 
-  /** Returns the boxes that store a record now and those that did before boxes joined. */
-  private Set<String> askedBoxes(String requestId) {
-    Set<String> boxes = new LinkedHashSet<>(storingBoxes(requestId));
-    boxes.addAll(select(requestId, limitToPool(peers.availableFor(ESTABLISHED_AFTER))));
-    return boxes;
+  /** Returns the boxes that store a record, other than this one. */
+  private List<String> storingBoxes(String requestId) {
+    return select(requestId, REPLICAS).stream().filter(box -> !box.equals(self)).toList();
   }
 
-  private List<String> storingBoxes(String requestId) {
+  private List<String> select(String requestId, int count) {
     Set<String> available = peers.available();
     if (available != pooledBoxes) {
       pooledBoxes = available;
       pool = limitToPool(available);
     }
-    return select(requestId, pool);
+    return ReplicaSelector.select(requestId, pool, box -> peers.zoneOf(box).orElse(""), count);
   }
 
   private List<String> limitToPool(Set<String> available) {
@@ -183,10 +191,4 @@
         ? List.copyOf(available)
         : available.stream().sorted(peers.byRank(TASK)).limit(MAX_STORING_BOXES).toList();
   }
-
-  private List<String> select(String requestId, List<String> boxes) {
-    return selector.select(requestId, boxes, box -> peers.zoneOf(box).orElse("")).stream()
-        .filter(box -> !box.equals(self))
-        .toList();
-  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerTable.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/PeerTable.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.limit.BoxRank;
 import org.gradeledge.selection.RendezvousHash;
@@ -34,15 +33,10 @@
   private static final Duration RANK_RETENTION = Duration.ofSeconds(10);
 
   private record PeerState(
-      long joinedNanos,
-      long reportedNanos,
-      String zone,
-      boolean leaving,
-      int weight,
-      boolean alive) {
+      long reportedNanos, String zone, boolean leaving, int weight, boolean alive) {
 
     PeerState asLost() {
-      return new PeerState(joinedNanos, reportedNanos, zone, leaving, weight, false);
+      return new PeerState(reportedNanos, zone, leaving, weight, false);
     }
 
     /** Returns whether anything other than the time has changed. */
@@ -91,15 +85,12 @@
   /** Records the state that a box reported the given time ago. */
   void update(String box, String boxZone, boolean boxLeaving, int boxWeight, long ageMillis) {
     long nanos = clock.nanos() - ageMillis * 1_000_000;
-    PeerState before = peers.get(box);
-    boolean joined = before == null || !before.alive();
-    long joinedNanos = joined ? clock.nanos() : before.joinedNanos();
-    PeerState now = new PeerState(joinedNanos, nanos, boxZone, boxLeaving, boxWeight, true);
-    peers.put(box, now);
+    PeerState now = new PeerState(nanos, boxZone, boxLeaving, boxWeight, true);
+    PeerState before = peers.put(box, now);
     if (before == null || now.differsFrom(before)) {
       refreshSets();
     }
-    if (joined) {
+    if (before == null || !before.alive()) {
       lastJoinNanos = clock.nanos();
       events.change("peer-heard").with("peer", box).write();
     }
@@ -206,16 +197,6 @@
     return available;
   }
 
-  /** Returns the available boxes that this one has known as alive for at least the given time. */
-  Set<String> availableFor(Duration age) {
-    long joinedBefore = clock.nanos() - age.toNanos();
-    return available.stream()
-        .filter(
-            box ->
-                (box.equals(self) ? startNanos : peers.get(box).joinedNanos()) - joinedBefore <= 0)
-        .collect(Collectors.toCollection(TreeSet::new));
-  }
-
   /** Recomputes the sets that are read several times per request. */
   private void refreshSets() {
     Set<String> newZones = new TreeSet<>(Set.of(zone));
--- a/gradeledge-core/src/main/java/org/gradeledge/resumption/ReplicaSelector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/resumption/ReplicaSelector.java
@@ -10,28 +10,23 @@
 import org.gradeledge.selection.RendezvousHash;
 
 /**
- * Selects the boxes that store the origin of a stream, by rendezvous hashing of its id, in
- * different availability zones where possible. Boxes that know the same members select the same
- * ones, and a member that joins or leaves replaces at most one of them.
+ * Selects the boxes that store the origin of a stream, by rendezvous hashing of its id, the first
+ * ones in different availability zones where possible. Boxes that know the same members select the
+ * same ones, and a member that joins or leaves replaces at most one of them.
  *
  * @since 0.3
  */
-public final class ReplicaSelector {
+public abstract class ReplicaSelector {
 
-  private final int count;
+  private ReplicaSelector() {}
 
   /**
-   * Creates a selector.
+   * Selects boxes for a stream.
    *
-   * @param count number of boxes to select
+   * @param count maximum number of boxes; fewer are a prefix of more
    */
-  public ReplicaSelector(int count) {
-    this.count = count;
-  }
-
-  /** Selects boxes for a stream. */
-  public List<String> select(
-      String requestId, Collection<String> boxes, Function<String, String> zoneOf) {
+  public static List<String> select(
+      String requestId, Collection<String> boxes, Function<String, String> zoneOf, int count) {
     List<String> ranked = boxes.stream().sorted(RendezvousHash.byRank(requestId)).toList();
     Set<String> zones = new HashSet<>();
     Set<String> firstOfZones = new LinkedHashSet<>();
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/InProcessBoxes.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/InProcessBoxes.java
@@ -25,6 +25,8 @@
 import org.gradeledge.peer.PeerSecret;
 import org.gradeledge.peer.PeerTransport;
 import org.gradeledge.quarantine.Quarantine;
+import org.gradeledge.resumption.StreamOriginDirectory;
+import org.gradeledge.resumption.StreamOrigins;
 import org.gradeledge.selection.UpstreamLoads;
 import org.gradeledge.time.MonotonicClock;
 import reactor.netty.ChannelBindException;
@@ -51,6 +53,8 @@
   private final RecordedEvents configurationEvents = new RecordedEvents();
   private final List<Quarantine> quarantines = new ArrayList<>();
   private final List<UpstreamLimits> upstreamLimits = new ArrayList<>();
+  private final List<StreamOrigins> streamOrigins = new ArrayList<>();
+  private final List<StreamOriginDirectory> originDirectories = new ArrayList<>();
   private final List<DisposableServer> servers = new ArrayList<>();
   private final List<String> addresses = new ArrayList<>();
 
@@ -87,6 +91,16 @@
     return upstreamLimits;
   }
 
+  /** Returns the origins of streams that the boxes store, in start order. */
+  List<StreamOrigins> streamOrigins() {
+    return streamOrigins;
+  }
+
+  /** Returns the directories of stream origins of the boxes, in start order. */
+  List<StreamOriginDirectory> originDirectories() {
+    return originDirectories;
+  }
+
   String address(int box) {
     return addresses.get(box);
   }
@@ -108,6 +122,8 @@
     servers.remove(index).disposeNow();
     meshes.remove(index);
     addresses.remove(index);
+    streamOrigins.remove(index);
+    originDirectories.remove(index);
   }
 
   /** Starts a box on a free port; retries if the port is taken in the meantime. */
@@ -161,16 +177,13 @@
             new PendingPieces(),
             quarantine,
             limits);
-    return new BoxMesh(
-        self,
-        "zone-" + meshes.size() % 3,
-        1,
-        seeds,
-        network,
-        loop,
-        state,
-        clock,
-        EventLogs.silent());
+    String zone = "zone-" + meshes.size() % 3;
+    BoxMesh mesh =
+        new BoxMesh(self, zone, 1, seeds, network, loop, state, clock, EventLogs.silent());
+    StreamOrigins origins = new StreamOrigins(clock);
+    streamOrigins.add(origins);
+    originDirectories.add(new StreamOriginDirectory(origins, mesh.originReplicas(origins)));
+    return mesh;
   }
 
   /** Waits for a condition; on interruption by the test timeout, reports the views of all boxes. */
--- a/gradeledge-core/src/test/java/org/gradeledge/resumption/ReplicaSelectorTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/resumption/ReplicaSelectorTests.java
@@ -19,8 +19,6 @@
 
   private static final int COUNT = 3;
 
-  private final ReplicaSelector selector = new ReplicaSelector(COUNT);
-
   @Property(tries = 300)
   void selectsSameBoxesInDifferentZonesInAnyOrder(
       @ForAll @IntRange(min = 1, max = 61) int boxes, @ForAll long seed) {
@@ -61,8 +59,8 @@
     assertThat(selected).containsExactlyInAnyOrderElementsOf(members);
   }
 
-  private List<String> select(String id, List<String> members) {
-    return selector.select(id, members, ReplicaSelectorTests::zoneOf);
+  private static List<String> select(String id, List<String> members) {
+    return ReplicaSelector.select(id, members, ReplicaSelectorTests::zoneOf, COUNT);
   }
 
   private static List<String> members(int count) {
