Resume streams of callers that do not name their beginning as before

Nothing can prove where such a stream began. It goes to any version again, is counted as unnamed and makes no record; a caller that names the beginning is never mixed.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AdmittedRequest.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AdmittedRequest.java
@@ -38,9 +38,21 @@
         .orElseGet(() -> route.selectService(request.id().hashCode()));
   }
 
-  /** Returns the id of the request that began the stream: this one, unless it is a resumption. */
-  String firstRequestId() {
-    return request.resumedRequestId().orElse(request.id());
+  /** Returns whether the caller resumes a stream without saying which request began it. */
+  boolean resumesUnnamedStream() {
+    return route.repeatability().streaming()
+        && request.lastEventId().isPresent()
+        && request.resumedRequestId().isEmpty();
+  }
+
+  /**
+   * Returns the id under which the origin of the stream is recorded: that of the request that began
+   * it. Empty if no other box may resume the stream, or if it began at an unknown request.
+   */
+  Optional<String> recordedRequestId() {
+    return Optional.of(request.resumedRequestId().orElse(request.id()))
+        .filter(id -> !id.isEmpty())
+        .filter(id -> route.repeatability().repeatable() && !resumesUnnamedStream());
   }
 
   /** Returns how long the caller waits for the answer, over all its attempts. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
@@ -35,20 +35,15 @@
     started = true;
     Optional<StreamOrigin> origin = StreamOrigin.of(upstream);
     context.candidates().restrictTo(origin);
-    if (context.admitted().route().repeatability().repeatable()) {
-      origin.ifPresent(this::record);
-    }
+    context.admitted().recordedRequestId().ifPresent(id -> origin.ifPresent(it -> record(id, it)));
     return true;
   }
 
-  private void record(StreamOrigin origin) {
+  private void record(String requestId, StreamOrigin origin) {
     AdmittedRequest admitted = context.admitted();
     long retentionMillis =
         admitted.callerDeadlineMillis() - context.clock().elapsedMillis() + RETENTION_MARGIN_MILLIS;
-    context
-        .services()
-        .streamOrigins()
-        .record(new OriginRecord(admitted.firstRequestId(), origin, retentionMillis));
+    context.services().streamOrigins().record(new OriginRecord(requestId, origin, retentionMillis));
   }
 
   boolean isStarted() {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -88,17 +88,24 @@
     AdmittedRequest admitted =
         new AdmittedRequest(
             request, deployment, route.get(), account, Optional.empty(), services.clock().nanos());
-    return request.isResumption() && route.get().repeatability().streaming()
-        ? resume(admitted, response)
-        : start(admitted, response);
+    if (admitted.resumesUnnamedStream()) {
+      resumptions.countUnnamed();
+    }
+    return request
+        .resumedRequestId()
+        .filter(id -> route.get().repeatability().streaming())
+        .map(id -> resume(admitted, id, response))
+        .orElseGet(() -> start(admitted, response));
   }
 
-  private ActiveRequest resume(AdmittedRequest admitted, CallerResponse response) {
+  private ActiveRequest resume(
+      AdmittedRequest admitted, String firstRequestId, CallerResponse response) {
     RelayRequest request = admitted.request();
     PendingRequest pending = new PendingRequest();
     resumptions.resolve(
         request,
         admitted.route(),
+        firstRequestId,
         result ->
             pending.start(
                 () ->
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
@@ -43,11 +43,6 @@
     List<Integer> pieceCounts,
     Optional<String> pieceKey) {
 
-  /** Returns whether the caller resumes a stream of which it has received events. */
-  public boolean isResumption() {
-    return lastEventId.isPresent() || resumedRequestId.isPresent();
-  }
-
   /** Returns the id of the last shared part of the prompt. */
   public Optional<String> sharedPartId() {
     return promptParts.size() < 2
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ResumptionResolver.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ResumptionResolver.java
@@ -14,6 +14,7 @@
  */
 final class ResumptionResolver {
 
+  private static final String UNNAMED = "unnamed";
   private static final String NO_UPSTREAM_OF_VERSION = "no_upstream_of_version";
 
   private final RelayServices services;
@@ -23,21 +24,24 @@
   }
 
   /**
-   * Finds the origin of a resumed stream. Calls the listener once, possibly before returning, with
-   * the origin or the reason why the stream cannot go on.
+   * Finds the origin of the stream that another request began. Calls the listener once, possibly
+   * before returning, with the origin or the reason why the stream cannot go on.
    */
   void resolve(
       RelayRequest request,
       RouteDefinition route,
+      String firstRequestId,
       Consumer<Either<Refusal, StreamOrigin>> listener) {
     long startNanos = services.clock().nanos();
-    Consumer<OriginLookup> decision =
-        lookup -> listener.accept(decide(request, route, lookup, startNanos));
-    request
-        .resumedRequestId()
-        .ifPresentOrElse(
-            id -> services.streamOrigins().find(id, decision),
-            () -> decision.accept(OriginLookup.unknown()));
+    services
+        .streamOrigins()
+        .find(
+            firstRequestId, lookup -> listener.accept(decide(request, route, lookup, startNanos)));
+  }
+
+  /** Counts a stream that is resumed at any version, as its caller does not say where it began. */
+  void countUnnamed() {
+    services.metrics().streamResumed(UNNAMED);
   }
 
   private Either<Refusal, StreamOrigin> decide(
--- a/gradeledge-core/src/main/java/org/gradeledge/resumption/OriginLookup.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/resumption/OriginLookup.java
@@ -30,8 +30,7 @@
     }
   }
 
-  /** Returns the result for a stream that nobody knows. */
-  public static OriginLookup unknown() {
+  static OriginLookup unknown() {
     return new OriginLookup(Outcome.UNKNOWN, Optional.empty());
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/ResumedStreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/ResumedStreamTests.java
@@ -134,6 +134,18 @@
     assertThat(box.answers).hasSize(1).first().asString().startsWith("STREAM_ORIGIN_UNKNOWN ");
   }
 
+  // Guards against refusing callers that do not say where their stream began, and against taking
+  // their resumption for the beginning of a stream.
+  @Test
+  void resumesUnnamedStreamAnywhereWithoutRecord() throws Exception {
+    SimulatedRelay box = new SimulatedRelay(STREAM, upstream(1, "v1"));
+    box.resumeUnnamed("r1");
+    box.upstreamCaller.nextCall().beginResponse(200, EVENT);
+
+    assertThat(box.answers).containsExactly("stream");
+    assertThat(box.replicas.storedFor("r1")).isEmpty();
+  }
+
   @Test
   void recordsResumedStreamUnderItsFirstRequest() throws Exception {
     SimulatedRelay box = new SimulatedRelay(STREAM, upstream(1, "v1"), upstream(2, "v2"));
