Soak: callers resume streams among engines of several software versions

Engines of one service run up to three versions and are replaced in random order, break streams off or send them slowly; callers resume at random boxes, a third of the attempts by closing the connection after one event. No stream may have events of two versions, and resumptions must go on at least half as often as streams begin while two engines of the version serve.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
@@ -9,6 +9,12 @@
   /** Path of each kind of route that callers request. */
   static final List<String> PATHS = List.of("/once/", "/again/", "/resume/", "/staged/");
 
+  /** Path of the resumable streams of {@link #VERSIONS_SERVICE}. */
+  static final String VERSIONS_PATH = "/versions/";
+
+  /** Service whose engines run several software versions. */
+  static final String VERSIONS_SERVICE = "versions";
+
   /** API key of the only client account. */
   static final String API_KEY = "a-key";
 
@@ -27,8 +33,13 @@
         + route("/resume/", "streaming", "model", ",\"stream_resume\":true")
         + ","
         + route("/staged/", "streaming", "model", STAGES)
+        + ","
+        + route(VERSIONS_PATH, "streaming", VERSIONS_SERVICE, ",\"stream_resume\":true")
         + additionalRoutes
         + "],\"services\":[{\"name\":\"plain\",\"max_connections\":64},"
+        + "{\"name\":\""
+        + VERSIONS_SERVICE
+        + "\",\"max_connections\":64},"
         + "{\"name\":\"model\",\"max_connections\":64,\"engine\":{\"kv_cache_tokens\":100000}},"
         + "{\"name\":\"stage\",\"max_connections\":64,\"pieces\":{\"slots\":1,\"queue\":2,"
         + "\"batch\":4,\"call_ms\":20,\"item_ms\":1,\"headroom_mb\":10,\"handle_s\":4}}],"
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
@@ -47,11 +47,12 @@
     try (SoakRun run = new SoakRun(seed, duration, boxes, timeoutFactor, folder)) {
       List<String> violations = run.execute();
       System.out.printf(
-          "soak seed=%d boxes=%d seconds=%d calls=%d %s logs=%s%n",
+          "soak seed=%d boxes=%d seconds=%d calls=%d %s %s logs=%s%n",
           seed,
           boxes,
           duration.toSeconds(),
           run.callCount(),
+          run.streamCounts(),
           violations.isEmpty() ? "kept" : "BROKEN " + violations.get(0),
           folder);
       Files.write(folder.resolve("result.txt"), violations);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -25,23 +25,27 @@
 final class SoakRun implements AutoCloseable {
 
   private static final int CALLERS_PER_BOX = 3;
+  private static final int STREAM_CALLERS_PER_BOX = 2;
   private static final int FAULT_SERIES = 3;
   private static final Duration RECOVERY_TIMEOUT = Duration.ofSeconds(12);
 
   private static final long LIMIT_SEED_MASK = 0x5eed;
   private static final long ANNOUNCEMENT_SEED_MASK = 0x51617a1;
   private static final long PARTITION_SEED_MASK = 0x9a27;
+  private static final long VERSION_SEED_MASK = 0x7e12;
 
   private final Random faultRandom;
   private final Random restartRandom;
   private final Random limitRandom;
   private final Random announcementRandom;
   private final Random partitionRandom;
+  private final Random versionRandom;
   private final Path folder;
   private final int timeoutFactor;
   private final long endMillis;
   private final StoreStandIn store = new StoreStandIn();
   private final SoakEngines engines;
+  private final SoakVersionedEngines versionedEngines;
   private final List<SoakBox> boxes = new ArrayList<>();
   private final SoakEngineSteps engineSteps;
   private final List<SoakChecks.PlannedStop> plannedStops = new CopyOnWriteArrayList<>();
@@ -49,6 +53,7 @@
   private final List<String> stepLog = new CopyOnWriteArrayList<>();
   private final ReadWriteLock exclusionLock = new ReentrantReadWriteLock(true);
   private final SoakCallers callers;
+  private final SoakStreamCallers streamCallers;
   private final SoakConfiguration configuration = new SoakConfiguration(store);
 
   /**
@@ -63,7 +68,10 @@
     this.limitRandom = new Random(seed ^ LIMIT_SEED_MASK);
     this.announcementRandom = new Random(seed ^ ANNOUNCEMENT_SEED_MASK);
     this.partitionRandom = new Random(seed ^ PARTITION_SEED_MASK);
+    this.versionRandom = new Random(seed ^ VERSION_SEED_MASK);
     this.engines = new SoakEngines(store, faultRandom);
+    this.versionedEngines = new SoakVersionedEngines(store);
+    this.streamCallers = new SoakStreamCallers(boxes, versionedEngines);
     this.timeoutFactor = timeoutFactor;
     this.engineSteps =
         new SoakEngineSteps(engines, this::expectAllServing, violations::add, timeoutFactor);
@@ -88,10 +96,12 @@
       expectServing(box, "at the start");
       callers.start(box, CALLERS_PER_BOX);
     }
+    streamCallers.start(STREAM_CALLERS_PER_BOX * boxes.size());
     runAllSeries();
     clearFaults();
     expectAllServing("after all faults");
     callers.stop();
+    streamCallers.stop();
     checkResults();
     return violations.isEmpty() ? List.of() : violationsAndSteps();
   }
@@ -106,8 +116,13 @@
     return callers.calls().size();
   }
 
+  /** Returns how many streams began and went on. */
+  String streamCounts() {
+    return SoakStreamChecks.describe(streamCallers.streams());
+  }
+
   private void runAllSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 4);
+    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 5);
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < FAULT_SERIES; i++) {
       Random random = new Random(faultRandom.nextLong());
@@ -117,6 +132,7 @@
     running.add(series.submit(() -> runSeries(SoakLimitAndRestoreStep.values(), limitRandom)));
     running.add(series.submit(() -> runSeries(SoakAnnouncementStep.values(), announcementRandom)));
     running.add(series.submit(() -> runSeries(SoakPartitionStep.values(), partitionRandom)));
+    running.add(series.submit(() -> runSeries(SoakVersionStep.values(), versionRandom)));
     for (Future<?> each : running) {
       each.get();
     }
@@ -152,6 +168,10 @@
     return engines;
   }
 
+  SoakVersionedEngines versionedEngines() {
+    return versionedEngines;
+  }
+
   SoakEngineSteps engineSteps() {
     return engineSteps;
   }
@@ -194,6 +214,7 @@
   void rewriteStore() {
     configuration.write();
     engines.putAllRows();
+    versionedEngines.putAllRows();
   }
 
   private void clearFaults() throws IOException {
@@ -233,6 +254,8 @@
     violations.addAll(
         SoakAnnouncementChecks.checkLeavingAnnouncements(callers.calls(), engines.allEngines()));
     violations.addAll(SoakAnnouncementChecks.checkBackoffs(callers.calls(), engines.allEngines()));
+    violations.addAll(SoakStreamChecks.checkVersions(streamCallers.streams()));
+    violations.addAll(SoakStreamChecks.checkResumptions(streamCallers.streams()));
     engineSteps.checkDepartedEngines();
   }
 
@@ -242,6 +265,7 @@
       box.close();
     }
     engines.close();
+    versionedEngines.close();
     store.close();
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -11,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -43,12 +45,17 @@
    * Returns the status of the response; the stream may have ended early nonetheless.
    */
   int send(int port, String path) throws IOException, InterruptedException {
+    return send(port, path, Integer.MAX_VALUE);
+  }
+
+  /** Does the same, but closes the connection once it has received the given number of events. */
+  int send(int port, String path, int maxEvents) throws IOException, InterruptedException {
     String id = UUID.randomUUID().toString();
     HttpResponse<InputStream> response =
         client.send(request(port, path, id), HttpResponse.BodyHandlers.ofInputStream());
     retryAfter = response.headers().firstValue("Retry-After");
     if (response.statusCode() == OK) {
-      readEvents(id, response.body());
+      readEvents(id, response.body(), maxEvents);
     }
     response.body().close();
     return response.statusCode();
@@ -67,11 +74,15 @@
     return builder.build();
   }
 
-  private void readEvents(String requestId, InputStream body) {
+  private void readEvents(String requestId, InputStream body, int maxEvents) {
+    int eventsBefore = events.size();
     try (BufferedReader lines =
         new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8))) {
-      lines.lines().forEach(line -> readLine(requestId, line));
-    } catch (IOException | java.io.UncheckedIOException e) {
+      Iterator<String> remaining = lines.lines().iterator();
+      while (events.size() - eventsBefore < maxEvents && remaining.hasNext()) {
+        readLine(requestId, remaining.next());
+      }
+    } catch (IOException | UncheckedIOException e) {
       // The stream ended early.
     }
   }
@@ -99,6 +110,11 @@
     return events.equals(ALL_EVENTS);
   }
 
+  /** Returns the number of events that were received. */
+  int eventCount() {
+    return events.size();
+  }
+
   /** Returns whether any event was received. */
   boolean hasBegun() {
     return !events.isEmpty();
