Store stream origins at an eighth of the boxes, twelve at least

Each box connects to all that store. With 64 boxes a site of 86 would open up to 63 connections a box for about one record a second; now 12, and a storing box receives a bounded multiple of what a box sends. Origins of one stream are an immutable set of one.

--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/OriginExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/OriginExchange.java
@@ -30,10 +30,13 @@
   private static final int REPLICAS = 3;
 
   /**
-   * Limits the connections that a box keeps open for records, as the boxes for successive streams
-   * are unrelated.
+   * Among many boxes only some store records, as the boxes of successive streams are unrelated and
+   * each box connects to all that store.
    */
-  private static final int MAX_STORING_BOXES = 64;
+  private static final int MIN_STORING_BOXES = HeartbeatRoutes.MAX_FULL_MESH_BOXES;
+
+  /** Bounds the records that a storing box receives to a multiple of those that a box sends. */
+  private static final int BOXES_PER_STORING_BOX = 8;
 
   /** Bounds the wait for a box that does not respond. */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(300);
@@ -187,8 +190,9 @@
   }
 
   private List<String> limitToPool(Set<String> available) {
-    return available.size() <= MAX_STORING_BOXES
+    int size = Math.max(MIN_STORING_BOXES, available.size() / BOXES_PER_STORING_BOX);
+    return available.size() <= size
         ? List.copyOf(available)
-        : available.stream().sorted(peers.byRank(TASK)).limit(MAX_STORING_BOXES).toList();
+        : available.stream().sorted(peers.byRank(TASK)).limit(size).toList();
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/resumption/StreamOrigins.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/resumption/StreamOrigins.java
@@ -1,12 +1,14 @@
 package org.gradeledge.resumption;
 
-import java.util.HashSet;
+import static java.util.stream.Collectors.toUnmodifiableSet;
+
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.gradeledge.time.MonotonicClock;
 
 /**
@@ -18,7 +20,7 @@
  */
 public final class StreamOrigins {
 
-  /** About 8 MB; a minute of the records that a box stores among 530 boxes. */
+  /** About 10 MB. */
   static final int MAX_ENTRIES = 32_768;
 
   /** Bounds the retention that a caller's deadline may ask for. */
@@ -26,8 +28,26 @@
 
   private static final class Entry {
 
-    private final Set<StreamOrigin> origins = new HashSet<>(2);
+    private Set<StreamOrigin> origins;
     private long expiresNanos;
+
+    Entry(StreamOrigin origin, long expiresNanos) {
+      this.origins = Set.of(origin);
+      this.expiresNanos = expiresNanos;
+    }
+
+    boolean isExpired(long nowNanos) {
+      return expiresNanos - nowNanos <= 0;
+    }
+
+    void merge(StreamOrigin origin, long otherExpiresNanos) {
+      if (!origins.contains(origin)) {
+        origins = Stream.concat(origins.stream(), Stream.of(origin)).collect(toUnmodifiableSet());
+      }
+      if (otherExpiresNanos - expiresNanos > 0) {
+        expiresNanos = otherExpiresNanos;
+      }
+    }
   }
 
   private final MonotonicClock clock;
@@ -48,12 +68,11 @@
     long now = clock.nanos();
     long expires = now + TimeUnit.MILLISECONDS.toNanos(retentionMillis);
     Entry entry = entries.remove(added.requestId());
-    if (entry == null || entry.expiresNanos - now <= 0) {
-      entry = new Entry();
-      entry.expiresNanos = expires;
+    if (entry == null || entry.isExpired(now)) {
+      entry = new Entry(added.origin(), expires);
+    } else {
+      entry.merge(added.origin(), expires);
     }
-    entry.origins.add(added.origin());
-    entry.expiresNanos = entry.expiresNanos - expires > 0 ? entry.expiresNanos : expires;
     entries.put(added.requestId(), entry);
     evict(now);
   }
@@ -61,7 +80,7 @@
   private void evict(long now) {
     Iterator<Entry> oldest = entries.values().iterator();
     while (oldest.hasNext()) {
-      boolean expired = oldest.next().expiresNanos - now <= 0;
+      boolean expired = oldest.next().isExpired(now);
       if (!expired && entries.size() <= MAX_ENTRIES) {
         return;
       }
@@ -76,15 +95,14 @@
    */
   public Set<StreamOrigin> find(String requestId) {
     Entry entry = entries.get(requestId);
-    boolean valid = entry != null && entry.expiresNanos - clock.nanos() > 0;
-    return valid ? Set.copyOf(entry.origins) : Set.of();
+    return entry == null || entry.isExpired(clock.nanos()) ? Set.of() : entry.origins;
   }
 
   /** Returns all records with their remaining retention. */
   public List<OriginRecord> all() {
     long now = clock.nanos();
     return entries.entrySet().stream()
-        .filter(each -> each.getValue().expiresNanos - now > 0)
+        .filter(each -> !each.getValue().isExpired(now))
         .flatMap(
             each ->
                 each.getValue().origins.stream()
