--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.Collectors;
 import org.gradeledge.adapter.PlatformBoxFactory;
 import org.gradeledge.event.EventLog;
 import org.gradeledge.node.RelayBox;
@@ -124,6 +125,13 @@
     return countEvents(logs.get(box), event) > 0;
   }
 
+  /** Returns the logs of all boxes, for the message of a failed assertion. */
+  String allLogs() {
+    return logs.stream()
+        .map(log -> log.toString(StandardCharsets.UTF_8))
+        .collect(Collectors.joining("\n", "logs of the boxes:\n", ""));
+  }
+
   private static long countEvents(ByteArrayOutputStream log, String event) {
     return log.toString(StandardCharsets.UTF_8)
         .lines()
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetLeavingUpstreamTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetLeavingUpstreamTests.java
@@ -140,6 +140,7 @@
   }
 
   private void sendStagedRequest(int caller) throws Exception {
-    assertThat(fleet.post(caller % BOXES, "/staged/x", STAGE_HEADERS).statusCode()).isEqualTo(200);
+    HttpResponse<String> response = fleet.post(caller % BOXES, "/staged/x", STAGE_HEADERS);
+    assertThat(response.statusCode()).as(fleet::allLogs).isEqualTo(200);
   }
 }
