--- a/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelClientTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelClientTests.java
@@ -3,11 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.gradeledge.connection.DirectDialer;
@@ -29,7 +27,12 @@
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private long nowMillis = 1_000_000;
-  private final FakePeers peers = new FakePeers();
+  private Function<String, PathCheck> answer = box -> PathCheck.UNAVAILABLE;
+  private final FakeTunnelPeers peers =
+      new FakeTunnelPeers(
+          boxes(),
+          box -> zone(box).equals(OWN_ZONE),
+          (box, request) -> Mono.just(TunnelOffer.without(answer.apply(box))));
   private final TunnelClient client =
       new TunnelClient(
           channel.eventLoop(),
@@ -43,11 +46,11 @@
 
   @Test
   void asksBoxOfOwnZoneFirst() {
-    peers.answer = box -> PathCheck.REACHED;
+    answer = box -> PathCheck.REACHED;
 
     assertThat(check()).isEqualTo(PathCheck.REACHED);
 
-    assertThat(peers.asked).hasSize(1).allMatch(box -> zone(box).equals(OWN_ZONE));
+    assertThat(peers.asked()).hasSize(1).allMatch(box -> zone(box).equals(OWN_ZONE));
   }
 
   // Guards against boxes of a partitioned zone that ask only each other.
@@ -56,7 +59,7 @@
       value = PathCheck.class,
       names = {"REFUSED", "SILENT", "UNAVAILABLE"})
   void reachesUpstreamWhenWholeZoneIsPartitioned(PathCheck answerOfOwnZone) {
-    peers.answer = box -> zone(box).equals(OWN_ZONE) ? answerOfOwnZone : PathCheck.REACHED;
+    answer = box -> zone(box).equals(OWN_ZONE) ? answerOfOwnZone : PathCheck.REACHED;
 
     assertThat(check()).isEqualTo(PathCheck.REACHED);
   }
@@ -64,7 +67,7 @@
   // Guards against asking the same partitioned boxes again and again.
   @Test
   void asksOtherBoxesNextTimeIfMostAreWithoutPath() {
-    peers.answer = box -> box.endsWith("-7") ? PathCheck.REACHED : PathCheck.REFUSED;
+    answer = box -> box.endsWith("-7") ? PathCheck.REACHED : PathCheck.REFUSED;
 
     List<PathCheck> results = new ArrayList<>();
     for (int attempt = 0; attempt < BOXES_PER_ZONE * ZONES.size() / 3; attempt++) {
@@ -81,40 +84,13 @@
     return results.get(0);
   }
 
-  private static String zone(String box) {
-    return box.substring(0, box.indexOf('-'));
+  private static List<String> boxes() {
+    return ZONES.stream()
+        .flatMap(zone -> IntStream.range(0, BOXES_PER_ZONE).mapToObj(box -> zone + "-" + box))
+        .toList();
   }
 
-  /** Boxes of five zones that answer at once. */
-  private static final class FakePeers implements TunnelPeers {
-
-    private final List<String> asked = new ArrayList<>();
-    private Function<String, PathCheck> answer = box -> PathCheck.UNAVAILABLE;
-
-    @Override
-    public List<String> available() {
-      return ZONES.stream()
-          .flatMap(zone -> IntStream.range(0, BOXES_PER_ZONE).mapToObj(box -> zone + "-" + box))
-          .toList();
-    }
-
-    @Override
-    public boolean isInOwnZone(String box) {
-      return zone(box).equals(OWN_ZONE);
-    }
-
-    @Override
-    public boolean isAvailable(String box) {
-      return true;
-    }
-
-    @Override
-    public Mono<TunnelOffer> request(String box, TunnelRequest request, Duration timeout) {
-      asked.add(box);
-      return Mono.just(TunnelOffer.without(answer.apply(box)));
-    }
-
-    @Override
-    public void onLost(Consumer<String> listener) {}
+  private static String zone(String box) {
+    return box.substring(0, box.indexOf('-'));
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelSearchTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelSearchTests.java
@@ -3,13 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.gradeledge.connection.PathCheck;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
@@ -19,7 +17,15 @@
   private static final List<String> BOXES = List.of("a", "b", "c", "d");
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
-  private final RecordedPeers peers = new RecordedPeers();
+
+  /** Offers of the boxes; others never answer. */
+  private final Map<String, TunnelOffer> offers = new HashMap<>();
+
+  private final FakeTunnelPeers peers =
+      new FakeTunnelPeers(
+          BOXES,
+          box -> true,
+          (box, request) -> offers.containsKey(box) ? Mono.just(offers.get(box)) : Mono.never());
   private final List<String> failed = new ArrayList<>();
   private final List<String> outcomes = new ArrayList<>();
 
@@ -29,33 +35,33 @@
 
   @Test
   void usesFirstBoxThatReachesTheUpstream() {
-    peers.offers.put("a", TunnelOffer.without(PathCheck.UNAVAILABLE));
-    peers.offers.put("b", new TunnelOffer(PathCheck.REACHED, 1, "ticket"));
+    offers.put("a", TunnelOffer.without(PathCheck.UNAVAILABLE));
+    offers.put("b", new TunnelOffer(PathCheck.REACHED, 1, "ticket"));
 
     search();
 
     assertThat(outcomes).containsExactly("b REACHED");
     assertThat(failed).containsExactly("a UNAVAILABLE");
-    assertThat(peers.asked).containsExactly("a", "b");
+    assertThat(peers.asked()).containsExactly("a", "b");
   }
 
   // Guards against taking the word of one box that is partitioned itself for a crash.
   @Test
   void refusalCountsOnlyIfNoAskedBoxReachesTheUpstream() {
-    peers.offers.put("a", TunnelOffer.without(PathCheck.REFUSED));
-    peers.offers.put("b", TunnelOffer.without(PathCheck.SILENT));
-    peers.offers.put("c", TunnelOffer.without(PathCheck.UNAVAILABLE));
+    offers.put("a", TunnelOffer.without(PathCheck.REFUSED));
+    offers.put("b", TunnelOffer.without(PathCheck.SILENT));
+    offers.put("c", TunnelOffer.without(PathCheck.UNAVAILABLE));
 
     search();
 
     assertThat(outcomes).containsExactly(" REFUSED");
-    assertThat(peers.asked).containsExactly("a", "b", "c");
+    assertThat(peers.asked()).containsExactly("a", "b", "c");
   }
 
   // Guards against waiting for a box that does not answer.
   @Test
   void asksNextBoxIfOneDoesNotAnswer() {
-    peers.offers.put("b", new TunnelOffer(PathCheck.REACHED, 1, "ticket"));
+    offers.put("b", new TunnelOffer(PathCheck.REACHED, 1, "ticket"));
 
     search();
     assertThat(outcomes).isEmpty();
@@ -91,35 +97,4 @@
         .start();
     channel.runPendingTasks();
   }
-
-  /** Answers with the offers that a test sets; other boxes never answer. */
-  private static final class RecordedPeers implements TunnelPeers {
-
-    private final Map<String, TunnelOffer> offers = new HashMap<>();
-    private final List<String> asked = new ArrayList<>();
-
-    @Override
-    public List<String> available() {
-      return BOXES;
-    }
-
-    @Override
-    public boolean isInOwnZone(String box) {
-      return true;
-    }
-
-    @Override
-    public boolean isAvailable(String box) {
-      return true;
-    }
-
-    @Override
-    public Mono<TunnelOffer> request(String box, TunnelRequest request, Duration timeout) {
-      asked.add(box);
-      return offers.containsKey(box) ? Mono.just(offers.get(box)) : Mono.never();
-    }
-
-    @Override
-    public void onLost(Consumer<String> listener) {}
-  }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelTests.java
@@ -15,14 +15,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.gradeledge.connection.DirectDialer;
 import org.gradeledge.connection.PathCheck;
 import org.gradeledge.connection.TunnelConnector;
@@ -56,7 +54,11 @@
   private final TunnelServer server =
       new TunnelServer(loop, dialer, paths, id -> Optional.of(record()));
   private final TunnelClient client =
-      new TunnelClient(loop, System::nanoTime, dialer, new SingleBox());
+      new TunnelClient(
+          loop,
+          System::nanoTime,
+          dialer,
+          new FakeTunnelPeers(List.of(BOX), box -> true, (box, request) -> newOffer(request)));
   private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
   TunnelTests() throws IOException {
@@ -188,30 +190,7 @@
     }
   }
 
-  /** The box that runs the server. */
-  private final class SingleBox implements TunnelPeers {
-
-    @Override
-    public List<String> available() {
-      return List.of(BOX);
-    }
-
-    @Override
-    public boolean isInOwnZone(String box) {
-      return true;
-    }
-
-    @Override
-    public boolean isAvailable(String box) {
-      return true;
-    }
-
-    @Override
-    public Mono<TunnelOffer> request(String box, TunnelRequest request, Duration timeout) {
-      return server.offer(request);
-    }
-
-    @Override
-    public void onLost(Consumer<String> listener) {}
+  private Mono<TunnelOffer> newOffer(TunnelRequest request) {
+    return server.offer(request);
   }
 }
