Resume streams when the class archive is written

Boxes start from an archive of the classes that these requests load; without a resumption the first one of a box would load its classes from the jar.

--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCaller.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetCaller.java
@@ -8,10 +8,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
-/** Sends requests of all kinds to a box, sequentially. */
+/**
+ * Sends requests of all kinds to a box, sequentially. Resumable streams after the first are
+ * requests to resume it.
+ */
 final class FleetCaller {
 
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
@@ -23,6 +27,7 @@
   private final int callerPort;
   private final int readyPort;
   private final HttpClient client = newClient();
+  private Optional<String> resumableStream = Optional.empty();
 
   FleetCaller(int callerPort, int readyPort) {
     this.callerPort = callerPort;
@@ -70,10 +75,17 @@
     }
   }
 
-  private static HttpRequest request(int port, String path, int number) {
-    return HttpRequest.newBuilder(uri(port, path))
+  private HttpRequest request(int port, String path, int number) {
+    String id = UUID.randomUUID().toString();
+    HttpRequest.Builder builder = HttpRequest.newBuilder(uri(port, path));
+    if (path.equals(FleetConfiguration.RESUMABLE_PATH)) {
+      resumableStream.ifPresent(first -> builder.header("Resumes", first));
+      resumableStream.ifPresent(first -> builder.header("Last-Event-Id", "1"));
+      resumableStream = resumableStream.or(() -> Optional.of(id));
+    }
+    return builder
         .timeout(REQUEST_TIMEOUT)
-        .header("X-Request-Id", UUID.randomUUID().toString())
+        .header("X-Request-Id", id)
         .header("X-Deadline-Ms", "8000")
         .header("Authorization", "Bearer " + FleetConfiguration.API_KEY)
         .header("X-Token-Counts", "500,40")
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
@@ -6,8 +6,11 @@
 /** Configuration of a small test deployment and the settings of its boxes, as JSON. */
 final class FleetConfiguration {
 
+  /** Path of streams that may be resumed. */
+  static final String RESUMABLE_PATH = "/resume/";
+
   /** Path of each kind of route that callers request. */
-  static final List<String> PATHS = List.of("/once/", "/again/", "/resume/", "/staged/");
+  static final List<String> PATHS = List.of("/once/", "/again/", RESUMABLE_PATH, "/staged/");
 
   /** Path of the resumable streams of {@link #VERSIONS_SERVICE}. */
   static final String VERSIONS_PATH = "/versions/";
@@ -30,7 +33,7 @@
         + ","
         + route("/stream/", "streaming", "model", ",\"stream_resume\":false")
         + ","
-        + route("/resume/", "streaming", "model", ",\"stream_resume\":true")
+        + route(RESUMABLE_PATH, "streaming", "model", ",\"stream_resume\":true")
         + ","
         + route("/staged/", "streaming", "model", STAGES)
         + ","
