--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
@@ -35,15 +35,17 @@
     started = true;
     Optional<StreamOrigin> origin = StreamOrigin.of(upstream);
     context.candidates().restrictTo(origin);
-    context.admitted().recordedRequestId().ifPresent(id -> origin.ifPresent(it -> record(id, it)));
+    context.admitted().recordedRequestId().ifPresent(id -> recordOrigin(id, origin));
     return true;
   }
 
-  private void record(String requestId, StreamOrigin origin) {
+  private void recordOrigin(String requestId, Optional<StreamOrigin> origin) {
     AdmittedRequest admitted = context.admitted();
     long retentionMillis =
         admitted.callerDeadlineMillis() - context.clock().elapsedMillis() + RETENTION_MARGIN_MILLIS;
-    context.services().streamOrigins().record(OriginRecord.of(requestId, origin, retentionMillis));
+    origin
+        .map(known -> OriginRecord.of(requestId, known, retentionMillis))
+        .ifPresent(context.services().streamOrigins()::record);
   }
 
   boolean isStarted() {
--- a/gradeledge-core/src/main/java/org/gradeledge/resumption/StreamOrigin.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/resumption/StreamOrigin.java
@@ -22,7 +22,7 @@
 
   /**
    * Returns the origin of the streams that an upstream begins; empty if its software version is
-   * unknown, so that nobody can continue them.
+   * unknown, so that no upstream can continue them.
    */
   public static Optional<StreamOrigin> of(UpstreamRecord upstream) {
     return upstream.softwareVersion().map(version -> new StreamOrigin(upstream.service(), version));
--- a/gradeledge-core/src/test/java/org/gradeledge/resumption/ReplicaSelectorTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/resumption/ReplicaSelectorTests.java
@@ -33,7 +33,7 @@
     assertThat(zones(selected)).hasSize(Math.min(COUNT, zones(members).size()));
   }
 
-  // Guards against asking boxes that do not overlap with those that were told.
+  // Guards against asking boxes other than those that received the record.
   @Property(tries = 300)
   void keepsAllButOneBoxWhenAMemberChanges(
       @ForAll @IntRange(min = 4, max = 61) int boxes, @ForAll long seed) {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetRelayTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetRelayTests.java
@@ -161,7 +161,7 @@
         .isEqualTo(eventStream(4));
   }
 
-  // Guards against resuming a stream at an arbitrary upstream when nobody knows where it began.
+  // Guards against resuming a stream at an arbitrary upstream when no box knows where it began.
   @Test
   void refusesResumptionOfUnknownStream() throws Exception {
     HttpResponse<String> response =
