Freeze the clock of UpstreamListUpdatesTests

Its embedded loop went on with the time of the machine beside the 499 ms that the test advances, so that a pause of 1 ms between the report and the first check let the box read.

With a pause of 5 ms there (scratch copy, load 16) it fails before and passes after. The other tests that advance an embedded loop freeze it already (nine classes, read one by one); UnreadableUpstreamRowTests runs no timers.

--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/UpstreamListUpdatesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/UpstreamListUpdatesTests.java
@@ -17,6 +17,7 @@
 import org.gradeledge.peer.PeerTransport;
 import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import reactor.netty.resources.LoopResources;
 
@@ -38,6 +39,11 @@
   private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
   private final AtomicInteger reads = new AtomicInteger();
 
+  @BeforeEach
+  void freezeTime() {
+    channel.freezeTime();
+  }
+
   @AfterEach
   void stop() {
     channel.finishAndReleaseAll();
