Log how each answer ends, and tell attempts that the box gave up from those that broke off

The hypotheses on LOST could not be told apart: attempt-failed said BROKEN for an upstream that broke off, for one that the box had given up as silent and for a status 500 that was retried; request-ended gave the status 503 to a stream that was cut in its middle; a request in flight when the process ended had no line; events that could not be sent to the caller were dropped without one.

attempt-abandoned is new, attempt-failed names the status; request-ended has end (complete, refused, cut, caller-left, process-ended), sent-bytes and dropped-bytes; gradeledge_relay_answers_total counts by end.

--- a/gradeledge-core/src/main/java/org/gradeledge/node/GracefulShutdown.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/GracefulShutdown.java
@@ -68,8 +68,14 @@
     scheduleAt(CLOSE_IDLE_AT, server::closeIdle);
     scheduleAt(REFUSE_AT, this::refuseRequests);
     scheduleAt(REFUSE_UNSENT_AT, handler::refuseUnsent);
-    scheduleAt(END_AT, onCompletion);
-    awaitActiveRequests(onCompletion);
+    Runnable end = () -> end(onCompletion);
+    scheduleAt(END_AT, end);
+    awaitActiveRequests(end);
+  }
+
+  private void end(Runnable onCompletion) {
+    handler.processEnds();
+    onCompletion.run();
   }
 
   private void refuseRequests() {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -65,6 +65,7 @@
   @Override
   public final void abandonAsSilent() {
     cancel();
+    services.metrics().attemptEnded("abandoned");
     services.upstreamCaller().discardConnections(upstream);
     services.loads().recordFailure(upstream, true, "silent");
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/CallerResponse.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/CallerResponse.java
@@ -25,8 +25,11 @@
   /** Starts a stream of events. */
   void beginStream(int status, HttpHeaders headers);
 
-  /** Sends events of the stream and takes over the reference to the buffer. */
-  void sendEvents(ByteBuf events);
+  /**
+   * Sends events of the stream and takes over the reference to the buffer. Returns whether they
+   * were accepted; if not, the caller does not receive them.
+   */
+  boolean sendEvents(ByteBuf events);
 
   /** Ends the stream normally. */
   void endStream();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
@@ -1,5 +1,6 @@
 package org.gradeledge.relay;
 
+import java.util.List;
 import java.util.Optional;
 import org.gradeledge.connection.ConnectionReuse;
 import org.gradeledge.connection.OutgoingRequest;
@@ -76,6 +77,14 @@
         .forEach(stage -> services.retryBudget().recordRequest(stage.service()));
   }
 
+  /** Records the results of the stage work. */
+  void stagesCompleted(List<String> results) {
+    services.metrics().stagesCompleted(admitted.route().repeatability(), clock.elapsedMillis());
+    outcome.stagesCompleted();
+    inputs.setHandles(results);
+    candidates.setInputBytes(stagePlan.bytesByZone());
+  }
+
   /** Takes one retry from the budget; returns whether it allowed one. */
   boolean trySpendRetry() {
     return services.retryBudget().trySpend(admitted.service());
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import org.gradeledge.connection.CallFailure;
 import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLog;
@@ -32,6 +31,8 @@
   private final Set<String> softwareVersions = new LinkedHashSet<>();
   private long stagesMillis = -1;
   private long firstEventMillis = -1;
+  private long sentBytes;
+  private long droppedBytes;
   private long retryAfterMillis = MIN_RETRY_AFTER_MILLIS;
   private boolean finished;
 
@@ -88,13 +89,20 @@
     logProblem("attempt-not-run", upstream, "status " + status);
   }
 
-  void attemptFailed(UpstreamRecord upstream, CallFailure failure) {
-    attemptTrace.append(' ').append(failure);
-    logProblem("attempt-failed", upstream, failure.name());
+  /** Records an attempt that ended without a usable answer of the upstream. */
+  void attemptFailed(UpstreamRecord upstream, String reason) {
+    attemptTrace.append(' ').append(reason);
+    logProblem("attempt-failed", upstream, reason);
+  }
+
+  /** Records an attempt that this box gave up although its connection was open. */
+  void attemptAbandoned(UpstreamRecord upstream, String reason) {
+    attemptTrace.append(" abandoned:").append(reason);
+    logProblem("attempt-abandoned", upstream, reason);
   }
 
   void answered(int status, HttpHeaders headers, ByteBuf body) {
-    finish("answered-" + status / 100 + "xx", status);
+    finish("answered-" + status / 100 + "xx", status, AnswerEnd.COMPLETE);
     response.answer(status, headers, body);
   }
 
@@ -105,16 +113,29 @@
   }
 
   void sendEvents(ByteBuf events) {
-    response.sendEvents(events);
+    int bytes = events.readableBytes();
+    if (response.sendEvents(events)) {
+      sentBytes += bytes;
+    } else {
+      droppedBytes += bytes;
+    }
   }
 
   void endStream() {
-    finish("stream-whole", 200);
+    finish("stream-whole", 200, AnswerEnd.COMPLETE);
     response.endStream();
   }
 
   void callerDisconnected() {
-    finish("caller-gone", 0);
+    finish("caller-gone", 0, AnswerEnd.CALLER_LEFT);
+  }
+
+  /** Records that the process ends; does nothing if the answer has ended before. */
+  void processEnds() {
+    if (finished) {
+      return;
+    }
+    finish("process-ended", 0, AnswerEnd.PROCESS_ENDED);
   }
 
   void refuse(Refusal refusal, String reason, boolean streaming) {
@@ -122,7 +143,8 @@
       return;
     }
     attemptTrace.append(" (").append(reason).append(')');
-    finish(refusal.name().toLowerCase(Locale.ROOT), refusal.status());
+    AnswerEnd end = streaming ? AnswerEnd.CUT : AnswerEnd.REFUSED;
+    finish(refusal.name().toLowerCase(Locale.ROOT), refusal.status(), end);
     if (streaming) {
       response.abort();
     } else {
@@ -130,10 +152,11 @@
     }
   }
 
-  private void finish(String outcome, int status) {
+  private void finish(String outcome, int status, AnswerEnd end) {
     finished = true;
     services.metrics().requestEnded(route.repeatability(), outcome, clock.elapsedMillis());
-    boolean successful = status >= 200 && status < 300;
+    services.metrics().answerEnded(end);
+    boolean successful = status >= 200 && status < 300 && droppedBytes == 0;
     EventLog.Event event =
         successful
             ? services.events().step("request-ended")
@@ -144,6 +167,9 @@
         .with("revision", admitted.deployment().revision())
         .with("outcome", outcome)
         .with("status", status)
+        .with("end", end.label())
+        .with("sent-bytes", sentBytes)
+        .with("dropped-bytes", droppedBytes)
         .with("ms", clock.elapsedMillis())
         .with("left-ms", clock.remainingMillis())
         .with("stages-ms", stagesMillis)
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
@@ -1,7 +1,7 @@
 package org.gradeledge.relay;
 
+import io.netty.buffer.ByteBuf;
 import java.util.Optional;
-import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.resumption.OriginRecord;
 import org.gradeledge.resumption.StreamOrigin;
 
@@ -21,22 +21,26 @@
     this.lastEventId = context.admitted().request().lastEventId();
   }
 
+  /** Forwards events to the caller and takes over the reference to the buffer. */
+  void forward(StreamAttempt source, ByteBuf events) {
+    if (!started) {
+      start(source);
+    }
+    lastEventId = source.lastEventId().or(() -> lastEventId);
+    context.outcome().sendEvents(events);
+  }
+
   /**
-   * Marks the stream as started: from then on only upstreams that can continue it are candidates,
-   * and its origin is recorded in case that the caller resumes it.
-   *
-   * @param upstream the upstream that sent the first event
-   * @return whether the stream was not started before
+   * Starts the stream: from then on only upstreams that can continue it are candidates, and its
+   * origin is recorded in case that the caller resumes it.
    */
-  boolean start(UpstreamRecord upstream) {
-    if (started) {
-      return false;
-    }
+  private void start(StreamAttempt source) {
     started = true;
-    Optional<StreamOrigin> origin = StreamOrigin.of(upstream);
+    Optional<StreamOrigin> origin = StreamOrigin.of(source.upstream());
     context.candidates().restrictTo(origin);
     context.admitted().recordedRequestId().ifPresent(id -> recordOrigin(id, origin));
-    return true;
+    context.stagePlan().releaseAll();
+    context.outcome().beginStream(source.status(), source.headers());
   }
 
   private void recordOrigin(String requestId, Optional<StreamOrigin> origin) {
@@ -52,11 +56,6 @@
     return started;
   }
 
-  /** Records the id of the last forwarded event, if it has one. */
-  void recordLastEventId(Optional<String> id) {
-    lastEventId = id.or(() -> lastEventId);
-  }
-
   /** Returns the id of the event after which another upstream must resume. */
   Optional<String> lastEventId() {
     return lastEventId;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
@@ -74,10 +74,12 @@
   }
 
   @Override
-  public void sendEvents(ByteBuf events) {
-    if (eventSink.tryEmitNext(events).isFailure()) {
+  public boolean sendEvents(ByteBuf events) {
+    boolean accepted = eventSink.tryEmitNext(events).isSuccess();
+    if (!accepted) {
       events.release();
     }
+    return accepted;
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -50,7 +50,7 @@
 
   void start() {
     timers.start(this::onTimeout);
-    quarantine.checkMayRun(mayRun -> proceed(mayRun));
+    quarantine.checkMayRun(this::proceed);
   }
 
   private void proceed(boolean mayRun) {
@@ -91,10 +91,7 @@
   }
 
   private void stagesCompleted(List<String> results) {
-    services.metrics().stagesCompleted(route.repeatability(), context.clock().elapsedMillis());
-    outcome.stagesCompleted();
-    context.inputs().setHandles(results);
-    context.candidates().setInputBytes(stagePlan.bytesByZone());
+    context.stagesCompleted(results);
     dispatch();
   }
 
@@ -135,7 +132,8 @@
   private void abandonIfSilent(Attempt watched) {
     if (watched == attempt && history.mayRunAgain()) {
       watched.abandonAsSilent();
-      failed(watched, CallFailure.BROKEN);
+      outcome.attemptAbandoned(watched.upstream(), "silent");
+      attemptEnded(watched, CallFailure.BROKEN);
     }
   }
 
@@ -173,8 +171,12 @@
 
   @Override
   public void failed(Attempt failedAttempt, CallFailure failure) {
+    outcome.attemptFailed(failedAttempt.upstream(), failure.name());
+    attemptEnded(failedAttempt, failure);
+  }
+
+  private void attemptEnded(Attempt failedAttempt, CallFailure failure) {
     timers.stopWatchdog();
-    outcome.attemptFailed(failedAttempt.upstream(), failure);
     if (failure.isRequestSent()) {
       boolean mayRun = history.mayRunAgain();
       history.recordPossibleRun();
@@ -185,12 +187,9 @@
   }
 
   private void connectionLost(boolean mayRunAgain, CallFailure failure) {
-    if (outcome.isFinished()) {
-      return;
-    }
-    if (mayRunAgain) {
+    if (mayRunAgain && !outcome.isFinished()) {
       retry(failure.name(), Refusal.BROKEN, true);
-    } else {
+    } else if (!outcome.isFinished()) {
       fail(Refusal.BROKEN, failure.name());
     }
   }
@@ -212,7 +211,7 @@
     if (history.mayReplaceAnswer(status) && context.trySpendRetry()) {
       body.release();
       history.recordPossibleRun();
-      outcome.attemptFailed(answered.upstream(), CallFailure.BROKEN);
+      outcome.attemptFailed(answered.upstream(), "status-" + status);
       dispatch();
       return;
     }
@@ -227,12 +226,7 @@
 
   @Override
   public void eventsReceived(StreamAttempt source, ByteBuf events) {
-    if (stream.start(source.upstream())) {
-      stagePlan.releaseAll();
-      outcome.beginStream(source.status(), source.headers());
-    }
-    stream.recordLastEventId(source.lastEventId());
-    outcome.sendEvents(events);
+    stream.forward(source, events);
   }
 
   @Override
@@ -258,6 +252,11 @@
     }
   }
 
+  /** Records that the process ends before the request does. */
+  void processEnds() {
+    outcome.processEnds();
+  }
+
   /** Ends the request; reports {@link Refusal#BROKEN} if an upstream may have run it. */
   private void fail(Refusal refusal, String reason) {
     dispatcher.recordRetryAfter(refusal);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -54,6 +54,11 @@
     List.copyOf(inFlight).forEach(RelayExchange::refuseUnsent);
   }
 
+  /** Records the requests that are still in flight when the process ends. */
+  public void processEnds() {
+    List.copyOf(inFlight).forEach(RelayExchange::processEnds);
+  }
+
   /** Fails the requests that timed out while the machine was suspended. */
   public void expireOverdue() {
     List.copyOf(inFlight).forEach(RelayExchange::expireOverdue);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -30,6 +30,14 @@
           .withoutExemplars()
           .register(registry);
 
+  private final Counter answers =
+      Counter.builder()
+          .name("gradeledge_relay_answers_total")
+          .help("Answers that ended, by how the caller sees it")
+          .labelNames("end")
+          .withoutExemplars()
+          .register(registry);
+
   private final Histogram seconds =
       Histogram.builder()
           .name("gradeledge_relay_request_seconds")
@@ -188,6 +196,11 @@
     seconds.labelValues(name(kind)).observe(millis / 1e3);
   }
 
+  /** Counts an answer that has ended. */
+  void answerEnded(AnswerEnd end) {
+    answers.labelValues(end.label()).inc();
+  }
+
   /** Records the duration of the stage work of a request. */
   public void stagesCompleted(Repeatability kind, long millis) {
     stageSeconds.labelValues(name(kind)).observe(millis / 1e3);
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -23,6 +23,7 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
 import org.gradeledge.event.EventLogs;
+import org.gradeledge.event.RecordedEventLog;
 import org.gradeledge.limit.SendLimiter;
 import org.gradeledge.quarantine.Quarantine;
 import org.gradeledge.quarantine.QuarantineTrials;
@@ -72,6 +73,7 @@
   final FakeOriginReplicas replicas = new FakeOriginReplicas();
   final List<String> answers = new ArrayList<>();
   final StringBuilder events = new StringBuilder();
+  final RecordedEventLog log = new RecordedEventLog();
   private final RelayHandler handler;
   private RelayHandler.ActiveRequest activeRequest = () -> {};
 
@@ -128,7 +130,7 @@
             new PassThroughProtocol(),
             stageWorkClient,
             new RelayMetrics(),
-            EventLogs.silent());
+            log.eventLog());
     this.handler = new RelayHandler(services);
   }
 
@@ -236,9 +238,10 @@
   }
 
   @Override
-  public void sendEvents(ByteBuf content) {
+  public boolean sendEvents(ByteBuf content) {
     events.append(content.toString(StandardCharsets.UTF_8));
     content.release();
+    return true;
   }
 
   @Override
