Failing tests: begun streams are cut although their upstream only pauses

Symptom of LOST: a resumable stream whose upstream sends nothing for 1.5 s and then goes on is cut if no other upstream of its software version is left, or the retry budget is spent; a stream with stage inputs is cut whenever it would have to go on elsewhere, as its inputs were released and their stage work counts as late by the target time of the first event.

The stand-in engine pauses streams, severs open connections while new ones work, and reports its runs.

--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -69,6 +69,14 @@
       listener.onContent(Unpooled.copiedBuffer(content, StandardCharsets.UTF_8));
     }
 
+    /** Sends the rest of a response that has begun, unless the call was cancelled. */
+    public void continueResponse(String content) {
+      if (!cancelled) {
+        listener.onContent(Unpooled.copiedBuffer(content, StandardCharsets.UTF_8));
+        listener.onComplete();
+      }
+    }
+
     /** Fails the call; must be called on the event loop. */
     public void fail(CallFailure failure) {
       listener.onFailure(failure);
--- /dev/null
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SilentUpstreamTests.java
@@ -0,0 +1,111 @@
+package org.gradeledge.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.FakeUpstreamCaller;
+import org.gradeledge.deployment.Repeatability;
+import org.gradeledge.deployment.RouteDefinition;
+import org.gradeledge.deployment.StageWork;
+import org.gradeledge.deployment.TestDeployments;
+import org.gradeledge.deployment.WeightedService;
+import org.gradeledge.discovery.UpstreamRecord;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Begun streams whose upstream falls silent, or breaks off, in virtual time. */
+class SilentUpstreamTests {
+
+  private static final List<Integer> NO_PIECES = List.of();
+  private static final String FIRST_EVENT = "id: 1\ndata: piece 1\n\n";
+  private static final String SECOND_EVENT = "id: 2\ndata: piece 2\n\n";
+  private static final long TIMEOUT_MILLIS = 15_000;
+  private static final long TARGET_MILLIS = 2_000;
+  private static final long PAUSE_MILLIS = 6_000;
+  private static final StageWork STAGE = new StageWork("service", List.of(), 1);
+
+  // Guards against cutting a stream that nothing can replace: no other upstream of its version.
+  @Test
+  @Tag("known-red")
+  void keepsPausingStreamIfNoOtherUpstreamCanContinueIt() throws Exception {
+    SimulatedRelay box = new SimulatedRelay(route(), upstream(1, "v1"), upstream(2, "v2"));
+    FakeUpstreamCaller.Call call = begin(box);
+
+    box.advance(PAUSE_MILLIS);
+    call.continueResponse(SECOND_EVENT);
+
+    assertThat(box.answers).containsExactly("stream", "end");
+    assertThat(box.events).hasToString(FIRST_EVENT + SECOND_EVENT);
+  }
+
+  // Guards against cutting a stream that nothing can replace: the retry budget is spent.
+  @Test
+  @Tag("known-red")
+  void keepsPausingStreamIfRetryBudgetIsSpent() throws Exception {
+    SimulatedRelay box = new SimulatedRelay(route(), upstream(1, "v1"), upstream(2, "v1"));
+    FakeUpstreamCaller.Call call = begin(box);
+    box.spendRetryBudget();
+
+    box.advance(PAUSE_MILLIS);
+    call.continueResponse(SECOND_EVENT);
+
+    assertThat(box.answers).containsExactly("stream", "end");
+    assertThat(box.events).hasToString(FIRST_EVENT + SECOND_EVENT);
+  }
+
+  // Guards against a stream with stage inputs that no upstream can continue, as its inputs were
+  // released and its stage work counts as late by the target time of its first event.
+  @Test
+  @Tag("known-red")
+  void continuesBrokenStreamWithNewStageInputs() throws Exception {
+    SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
+    box.send("r1", List.of(1));
+    box.stageWorkClient.complete(0);
+    FakeUpstreamCaller.Call first = box.upstreamCaller.nextCall();
+    first.beginResponse(200, FIRST_EVENT);
+    box.advance(TARGET_MILLIS + 1);
+
+    first.fail(CallFailure.BROKEN);
+    box.runPendingTasks();
+    assertThat(box.upstreamCaller.hasNoCalls()).isTrue();
+    assertThat(box.stageWorkClient.submittedStages()).containsExactly(0, 0);
+    assertThat(box.stageWorkClient.groups.get(1).dueMillis()).isPositive();
+    box.stageWorkClient.complete(0);
+    box.upstreamCaller.nextCall().respond(200, SECOND_EVENT);
+
+    assertThat(box.answers).containsExactly("stream", "end");
+    assertThat(box.events).hasToString(FIRST_EVENT + SECOND_EVENT);
+  }
+
+  private static FakeUpstreamCaller.Call begin(SimulatedRelay box) throws InterruptedException {
+    box.send("r1", NO_PIECES);
+    FakeUpstreamCaller.Call call = box.upstreamCaller.nextCall();
+    call.beginResponse(200, FIRST_EVENT);
+    return call;
+  }
+
+  private static RouteDefinition route(StageWork... stages) {
+    RouteDefinition template =
+        TestDeployments.route(
+            SimulatedRelay.HOST, "/path/", Repeatability.RESUMABLE_STREAM, List.of(stages));
+    return new RouteDefinition(
+        template.name(),
+        template.host(),
+        template.pathPrefix(),
+        template.repeatability(),
+        TIMEOUT_MILLIS,
+        TARGET_MILLIS,
+        template.priority(),
+        template.maxAttempts(),
+        List.of(new WeightedService("service", 1)),
+        template.stages(),
+        template.publicAccess());
+  }
+
+  private static UpstreamRecord upstream(int number, String version) {
+    return new UpstreamRecord(
+        "u" + number, 0, "service", "10.0.0.1", number, "zone", 8, false, 0, Optional.of(version));
+  }
+}
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -74,6 +74,8 @@
   final List<String> answers = new ArrayList<>();
   final StringBuilder events = new StringBuilder();
   final RecordedEventLog log = new RecordedEventLog();
+  private final RetryBudget retryBudget =
+      new RetryBudget(clock, 1, 100, Duration.ofSeconds(10), () -> 1);
   private final RelayHandler handler;
   private RelayHandler.ActiveRequest activeRequest = () -> {};
 
@@ -121,7 +123,7 @@
             loads,
             (candidates, demand) -> candidates.stream().findFirst(),
             sendLimiter,
-            new RetryBudget(clock, 1, 100, Duration.ofSeconds(10), () -> 1),
+            retryBudget,
             upstreamCaller,
             new LivenessChecker(upstreamCaller, upstreams::hasLeft),
             quarantine,
@@ -195,6 +197,13 @@
     runPendingTasks();
   }
 
+  /** Spends the retry budget of the service. */
+  void spendRetryBudget() {
+    while (retryBudget.trySpend("service")) {
+      runPendingTasks();
+    }
+  }
+
   /** Closes the connection of the caller of the last request. */
   void disconnectCaller() {
     activeRequest.callerDisconnected();
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineConnection.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineConnection.java
@@ -14,12 +14,20 @@
  *
  * @param socket the connection
  * @param headRewriter adds the announcements of the engine to the headers of a response
+ * @param silence decides whether the connection still carries anything
  */
-record EngineConnection(Socket socket, UnaryOperator<String> headRewriter) {
+record EngineConnection(Socket socket, UnaryOperator<String> headRewriter, EngineSilence silence) {
 
   private static final long EVENT_DELAY_NANOS = 150_000_000;
 
   boolean send(String text) throws IOException {
+    if (silence.isSevered(socket)) {
+      return hang();
+    }
+    return write(text);
+  }
+
+  private boolean write(String text) throws IOException {
     OutputStream out = socket.getOutputStream();
     out.write(RawHttpResponse.bytes(headRewriter.apply(text)));
     out.flush();
@@ -49,6 +57,28 @@
     return send("0\r\n\r\n");
   }
 
+  /** Sends an event stream that may fall silent. */
+  boolean sendEvents(ReceivedRequest request, List<String> events)
+      throws IOException, InterruptedException {
+    String run = request.header("X-Request-Id");
+    try {
+      send(RawHttpResponse.eventStreamHead(request, FleetEngineResponses.CHUNKED));
+      for (int event = 0; event < events.size(); event++) {
+        silence.beforeEvent(run, event, socket);
+        sendUnlessSevered(RawHttpResponse.chunk(events.get(event)));
+      }
+    } finally {
+      silence.runEnded(run);
+    }
+    return send("0\r\n\r\n");
+  }
+
+  private void sendUnlessSevered(String text) throws IOException {
+    if (!silence.isSevered(socket)) {
+      write(text);
+    }
+  }
+
   /** Sends no response; returns when the caller sends more data or closes the connection. */
   boolean hang() throws IOException {
     return socket.getInputStream().read() >= 0;
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -34,6 +34,7 @@
   private final FleetEngineResponses responses;
   private final EngineRateLimit rateLimit = new EngineRateLimit();
   private final EngineAnnouncements announcements = new EngineAnnouncements();
+  private final EngineSilence silence = new EngineSilence();
   private volatile long startedAtMillis = System.currentTimeMillis();
   private volatile EngineFault fault = EngineFault.NONE;
   private volatile Optional<String> crashBody = Optional.empty();
@@ -123,6 +124,16 @@
     return announcements;
   }
 
+  /** Returns how the engine falls silent. */
+  public EngineSilence silence() {
+    return silence;
+  }
+
+  /** Makes all open connections carry nothing any more without resetting them. */
+  public void severConnections() {
+    silence.sever(connections);
+  }
+
   /** Returns the number of the current incarnation, from 0. */
   public int incarnation() {
     return executedBeforeIncarnation.size() - 1;
@@ -195,13 +206,15 @@
   private void serve(Socket socket) {
     try (socket) {
       RequestReader reader = new RequestReader(socket.getInputStream());
-      EngineConnection caller = new EngineConnection(socket, this::addAnnouncements);
+      EngineConnection caller = new EngineConnection(socket, this::addAnnouncements, silence);
       Optional<ReceivedRequest> request = reader.readRequest();
       while (request.isPresent() && handleRequest(request.get(), caller)) {
         request = reader.readRequest();
       }
     } catch (IOException e) {
       // The connection was closed.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } finally {
       connections.remove(socket);
     }
@@ -209,7 +222,10 @@
 
   /** Responds to a request; returns whether the connection stays open. */
   private boolean handleRequest(ReceivedRequest request, EngineConnection caller)
-      throws IOException {
+      throws IOException, InterruptedException {
+    if (request.path().equals("/report")) {
+      return caller.send(RawHttpResponse.withBody(request, 200, "", silence.report()));
+    }
     rateLimit.recordRequest();
     Optional<String> backoffSeconds = announcements.recordRequest(request, incarnation());
     if (backoffSeconds.isPresent()) {
@@ -232,25 +248,7 @@
     if (crashBody.filter(request.body()::equals).isPresent()) {
       return crash();
     }
-    return switch (fault) {
-      case ANSWER_LOST -> caller.reset();
-      case HANG -> caller.hang();
-      case SLOW -> caller.sendSlowly(request, responses.events(request, EVENTS));
-      case ERROR ->
-          caller.send(RawHttpResponse.withBody(request, 500, "X-Response-Stamp: s\r\n", "failed"));
-      case CUT -> caller.sendAndClose(responses.truncated(request));
-      case CUT_WITHOUT_LENGTH ->
-          caller.sendAndReset(RawHttpResponse.eventStreamHead(request, "") + "half of an ans");
-      case OTHERS_ANSWER_FIRST ->
-          caller.send(
-              RawHttpResponse.withBody("another-id", 200, "", "not yours")
-                  + responses.complete(request));
-      case EXTRA_ANSWER ->
-          caller.send(
-              responses.complete(request)
-                  + RawHttpResponse.withBody(request, 200, "", "once more"));
-      default -> caller.send(responses.complete(request));
-    };
+    return responses.send(fault, request, caller);
   }
 
   private String addAnnouncements(String text) {
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngineResponses.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngineResponses.java
@@ -1,6 +1,7 @@
 package org.gradeledge.standin.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -35,6 +36,34 @@
     this.handlePrefix = handlePrefix;
   }
 
+  /** Responds to a request that is run; returns whether the connection stays open. */
+  boolean send(EngineFault fault, ReceivedRequest request, EngineConnection caller)
+      throws IOException, InterruptedException {
+    return switch (fault) {
+      case ANSWER_LOST -> caller.reset();
+      case HANG -> caller.hang();
+      case SLOW -> caller.sendSlowly(request, events(request, FleetEngine.EVENTS));
+      case ERROR ->
+          caller.send(RawHttpResponse.withBody(request, 500, "X-Response-Stamp: s\r\n", "failed"));
+      case CUT -> caller.sendAndClose(truncated(request));
+      case CUT_WITHOUT_LENGTH ->
+          caller.sendAndReset(RawHttpResponse.eventStreamHead(request, "") + "half of an ans");
+      case OTHERS_ANSWER_FIRST ->
+          caller.send(
+              RawHttpResponse.withBody("another-id", 200, "", "not yours") + complete(request));
+      case EXTRA_ANSWER ->
+          caller.send(complete(request) + RawHttpResponse.withBody(request, 200, "", "once more"));
+      default -> sendComplete(request, caller);
+    };
+  }
+
+  private boolean sendComplete(ReceivedRequest request, EngineConnection caller)
+      throws IOException, InterruptedException {
+    return kind == EngineKind.STREAM
+        ? caller.sendEvents(request, events(request, FleetEngine.EVENTS))
+        : caller.send(complete(request));
+  }
+
   /** Returns a complete and correct response. */
   String complete(ReceivedRequest request) {
     return switch (kind) {
