Promise no more that a request has not run if its stage work fails after a run

Callers of repeatable requests with stages got 503 with Retry-After, which promises that the request has not run and never will, although an attempt may have run it: after a lost connection the stages were computed again, and where they failed the refusal of the stages was sent as it was. Only one of the two ways to end a request looked at that. Now there is one, so that it holds for each refusal, also for one that stops or times out between two attempts: 502 in place of 503.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptHistory.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptHistory.java
@@ -37,8 +37,12 @@
     possibleRuns++;
   }
 
-  boolean hasPossiblyRun() {
-    return possibleRuns > 0;
+  /**
+   * Returns a refusal that is true of the request: {@link Refusal#BROKEN} in place of one that
+   * promises that the request has not run, if an upstream may have run it.
+   */
+  Refusal truthful(Refusal refusal) {
+    return possibleRuns > 0 && refusal.notRun() ? Refusal.BROKEN : refusal;
   }
 
   /** Returns whether the request may be retried after an attempt that may have run it. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -254,17 +254,19 @@
     outcome.processEnds();
   }
 
-  /** Ends the request; reports {@link Refusal#BROKEN} if an upstream may have run it. */
   private void fail(Refusal refusal, String reason) {
     dispatcher.recordRetryAfter(refusal);
-    finish(history.hasPossiblyRun() && refusal.notRun() ? Refusal.BROKEN : refusal, reason);
+    finish(refusal, reason);
   }
 
-  /** Does nothing if the request has ended before. */
+  /**
+   * Ends the request unless it has ended before; reports {@link Refusal#BROKEN} in place of a
+   * refusal that promises that the request has not run if an upstream may have run it.
+   */
   private void finish(Refusal refusal, String reason) {
     if (!outcome.isFinished()) {
       release();
-      outcome.refuse(refusal, reason, stream.isStarted());
+      outcome.refuse(history.truthful(refusal), reason, stream.isStarted());
     }
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SilentUpstreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SilentUpstreamTests.java
@@ -87,6 +87,23 @@
     assertThat(box.events).hasToString(FIRST_EVENT + SECOND_EVENT);
   }
 
+  // Guards against an answer that promises that a request has not run although it may have.
+  @Test
+  void promisesNothingIfStageWorkFailsAfterARun() throws Exception {
+    SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
+    box.send("r1", List.of(1));
+    box.stageWorkClient.complete(0);
+    FakeUpstreamCaller.Call call = box.upstreamCaller.nextCall();
+    call.notifySent();
+    box.advance(INPUT_RELEASE_MILLIS);
+    call.fail(CallFailure.BROKEN);
+    box.runPendingTasks();
+
+    box.stageWorkClient.fail(0, StageOutcome.FAILED);
+
+    assertThat(box.answers).containsExactly("BROKEN ");
+  }
+
   // Guards against a stream that waits for ever on a connection that was lost.
   @Test
   void continuesStreamWhoseConnectionIsLost() throws Exception {
