Give up an overdue call for stage work only if its pieces may be computed again

Now it goes on until the budget allows its pieces again, or nobody wants its results any more.

CallTimeouts is taken out of BatchQueue.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -22,8 +22,6 @@
 
   private static final int HTTP_OK = 200;
   private static final int HTTP_UNAVAILABLE = 503;
-  private static final double TIMEOUT_FACTOR = 2.5;
-  private static final long TIMEOUT_EXTRA_MILLIS = 400;
   private static final double FULL_PAUSE_SHARE = 0.6;
 
   /** Share of a call's fixed time after which its inputs count as fetched; longer if it is slow. */
@@ -36,6 +34,7 @@
   private final ResultMemory resultMemory;
   private final BatchUpstreams upstreams;
   private final PieceRetries retries;
+  private final CallTimeouts timeouts;
   private final QueueForecast forecast;
   private final CrashCheck crashCheck;
   private final DelayedRecheck recheck;
@@ -47,6 +46,7 @@
     this.resultMemory = new ResultMemory(context.clock(), context.loads());
     this.upstreams = new BatchUpstreams(service, context, resultMemory);
     this.retries = new PieceRetries(service, context);
+    this.timeouts = new CallTimeouts(service, context, retries, loop);
     this.recheck = new DelayedRecheck(loop, this::dispatch);
     this.crashCheck = new CrashCheck(context.livenessChecker(), loop);
     this.forecast = new QueueForecast(service, context, waiting, upstreams);
@@ -140,18 +140,10 @@
         context
             .caller()
             .call(target.upstream(), context.protocol().encodeCall(target.upstream(), items), call);
-    long timeout = (long) (expected * TIMEOUT_FACTOR) + TIMEOUT_EXTRA_MILLIS;
-    loop.schedule(() -> timeOut(call, upstreamCall), timeout, TimeUnit.MILLISECONDS);
+    timeouts.start(call, upstreamCall, expected);
     return true;
   }
 
-  private static void timeOut(BatchCall call, CancellableCall upstreamCall) {
-    if (!call.isFinished()) {
-      upstreamCall.cancel();
-      call.onTimeout();
-    }
-  }
-
   @Override
   public void onCallSent(BatchCall call) {
     double fixedMillis = call.target().expectedMillis(call.limits(), 0);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PieceRetries.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PieceRetries.java
@@ -15,6 +15,11 @@
     this.context = context;
   }
 
+  /** Returns whether pieces that were sent to an upstream may be retried now. */
+  boolean mayAcquire(List<StagePiece> pieces) {
+    return context.retryBudget().allows(service, pieces.size());
+  }
+
   /**
    * Returns whether pieces may be retried and logs the failure. Pieces that were sent to an
    * upstream consume the retry budget.
--- a/gradeledge-core/src/main/java/org/gradeledge/retry/RetryBudget.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/retry/RetryBudget.java
@@ -58,15 +58,20 @@
 
   /** Returns whether the given number of retries is allowed, and records all of them if so. */
   public boolean trySpend(String service, int count) {
+    boolean allowed = allows(service, count);
+    if (allowed) {
+      Window window = window(service);
+      window.retries[window.currentBucket()] += count;
+    }
+    return allowed;
+  }
+
+  /** Returns whether the given number of retries is allowed now, without recording them. */
+  public boolean allows(String service, int count) {
     Window window = window(service);
-    int bucket = window.currentBucket();
     double limit =
         allowance / Math.max(1, boxCount.getAsInt()) + ratio * window.sum(window.requests);
-    if (window.sum(window.retries) + count > limit) {
-      return false;
-    }
-    window.retries[bucket] += count;
-    return true;
+    return window.sum(window.retries) + count <= limit;
   }
 
   private Window window(String service) {
