Keep a silent attempt without events until its inputs are at hand

The inputs of an attempt without events were not part of what is granted first; they are now, as for begun streams. And a run is in no report until its first event, so that one whose prompt is still read was taken for lost: such a run is doubtful, and only one that reports events that did not arrive is lost. An upstream that reports is no longer avoided.

Reports that are of no use are logged.

--- a/gradeledge-core/src/main/java/org/gradeledge/inspection/RunInspector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/inspection/RunInspector.java
@@ -16,6 +16,7 @@
 import org.gradeledge.connection.ResponseBuffer;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.event.EventLog;
 import org.gradeledge.limit.SendLimiter;
 
 /**
@@ -35,15 +36,21 @@
   private final RunReportProtocol protocol;
   private final SendLimiter sendLimiter;
   private final EventLoop loop;
+  private final EventLog events;
   private final Map<String, List<Consumer<Optional<RunReport>>>> pending = new HashMap<>();
 
   /** Creates an inspector; its requests count towards the limits of upstreams. */
   public RunInspector(
-      UpstreamCaller caller, RunReportProtocol protocol, SendLimiter sendLimiter, EventLoop loop) {
+      UpstreamCaller caller,
+      RunReportProtocol protocol,
+      SendLimiter sendLimiter,
+      EventLoop loop,
+      EventLog events) {
     this.caller = caller;
     this.protocol = protocol;
     this.sendLimiter = sendLimiter;
     this.loop = loop;
+    this.events = events;
   }
 
   /**
@@ -61,7 +68,7 @@
       sendLimiter.recordSent(upstream);
       new ReportCall(upstream).start();
     } else {
-      loop.execute(() -> complete(upstream, Optional.empty()));
+      loop.execute(() -> completeWithout(upstream, "it accepts no request now"));
     }
   }
 
@@ -69,6 +76,16 @@
     pending.remove(upstream.incarnationId()).forEach(listener -> listener.accept(report));
   }
 
+  private void completeWithout(UpstreamRecord upstream, String reason) {
+    events
+        .problem("upstream-not-reporting")
+        .with("upstream", upstream.id())
+        .with("service", upstream.service())
+        .with("why", reason)
+        .write();
+    complete(upstream, Optional.empty());
+  }
+
   /** One request for a report. */
   private final class ReportCall implements CallListener {
 
@@ -89,7 +106,7 @@
     private void timeOut(CancellableCall call) {
       if (!finished) {
         call.cancel();
-        finish(Optional.empty());
+        fail("no answer in time");
       }
     }
 
@@ -101,25 +118,35 @@
     @Override
     public void onContent(ByteBuf content) {
       if (!body.add(content)) {
-        finish(Optional.empty());
+        fail("the report is too large");
       }
     }
 
     @Override
     public void onComplete() {
-      finish(protocol.decodeAnswer(status, body.toByteArray()));
+      Optional<RunReport> report = protocol.decodeAnswer(status, body.toByteArray());
+      if (report.isEmpty()) {
+        fail("no readable report, status " + status);
+      } else if (finish()) {
+        complete(upstream, report);
+      }
     }
 
     @Override
     public void onFailure(CallFailure failure) {
-      finish(Optional.empty());
+      fail(failure.name());
     }
 
-    private void finish(Optional<RunReport> report) {
-      if (!finished) {
-        finished = true;
-        complete(upstream, report);
+    private void fail(String reason) {
+      if (finish()) {
+        completeWithout(upstream, reason);
       }
     }
+
+    private boolean finish() {
+      boolean first = !finished;
+      finished = true;
+      return first;
+    }
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/inspection/RunObserver.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/inspection/RunObserver.java
@@ -13,35 +13,45 @@
 
   /** What the reports say of a run. */
   public enum Verdict {
-    /** The run may only pause or wait. */
+    /** The run may only pause. */
     PAUSING,
-    /** It is unknown whether the run is still there: it may wait among other requests. */
+    /** The run is in no report: it may wait, be in preparation, or have ended. */
     UNKNOWN,
+    /** The run is in no report and nothing waits, but nothing has arrived from it either. */
+    DOUBTFUL,
     /** The run made events that did not arrive, or it has ended. */
     CONNECTION_LOST
   }
 
   private final String requestId;
-  private OptionalLong firstEvents = OptionalLong.empty();
+  private final boolean begun;
+  private OptionalLong firstEvents;
   private int reportsOfLoss;
   private int reportsWithoutRun;
 
-  /** Creates an observer of the run of a request. */
-  public RunObserver(String requestId) {
+  /**
+   * Creates an observer of the run of a request.
+   *
+   * @param begun whether events of the run have arrived; until its first event a run is in no
+   *     report
+   */
+  public RunObserver(String requestId, boolean begun) {
     this.requestId = requestId;
+    this.begun = begun;
+    this.firstEvents = begun ? OptionalLong.empty() : OptionalLong.of(0);
   }
 
   /** Adds a report; returns what all reports together say. */
   public Verdict observe(RunReport report) {
     OptionalLong events = report.eventsOf(requestId);
-    boolean running = events.isPresent();
-    reportsWithoutRun = running ? 0 : reportsWithoutRun + 1;
-    boolean progressed = running && events.getAsLong() > firstEvents.orElse(Long.MAX_VALUE);
-    boolean ended = !running && report.waitingRequests() == 0;
-    reportsOfLoss = progressed || ended ? reportsOfLoss + 1 : 0;
+    boolean listed = events.isPresent();
+    boolean progressed = listed && events.getAsLong() > firstEvents.orElse(Long.MAX_VALUE);
+    boolean absent = !listed && report.waitingRequests() == 0;
     firstEvents = firstEvents.isPresent() ? firstEvents : events;
+    reportsOfLoss = progressed || absent ? reportsOfLoss + 1 : 0;
+    reportsWithoutRun = listed ? 0 : reportsWithoutRun + 1;
     if (reportsOfLoss >= REPORTS_FOR_VERDICT) {
-      return Verdict.CONNECTION_LOST;
+      return begun || progressed ? Verdict.CONNECTION_LOST : Verdict.DOUBTFUL;
     }
     return reportsWithoutRun >= REPORTS_FOR_VERDICT ? Verdict.UNKNOWN : Verdict.PAUSING;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -117,7 +117,7 @@
             SendLimiter.allOf(limiters.coldStart(this::boxCount), callLimiter),
             budget,
             caller,
-            new RunInspector(caller, adapters.runReportProtocol(), callLimiter, loop),
+            new RunInspector(caller, adapters.runReportProtocol(), callLimiter, loop, events),
             new LivenessChecker(caller, upstreams::hasLeft),
             quarantine,
             verdicts,
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -83,7 +83,7 @@
     cancel();
     services.metrics().attemptEnded("abandoned");
     services.upstreamCaller().discardConnections(upstream);
-    if (verdict != SilenceVerdict.CONNECTION_LOST) {
+    if (verdict == SilenceVerdict.UNANSWERED) {
       services.loads().recordFailure(upstream, true, "silent");
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
@@ -21,7 +21,7 @@
 
   /**
    * Cancels the call because nothing arrived for too long: discards pooled connections to the
-   * upstream, and avoids it for a while unless it is known to be alive.
+   * upstream, and avoids it for a while if nothing shows that it is alive.
    */
   void abandonAsSilent(SilenceVerdict verdict);
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import org.gradeledge.deployment.Repeatability;
 import org.gradeledge.deployment.RouteDefinition;
-import org.gradeledge.discovery.UpstreamRecord;
 
 /**
  * Decides what happens while the current attempt of a repeatable request is silent. An attempt is
@@ -31,7 +30,7 @@
   private Consumer<String> giveUpAction = reason -> {};
   private SilenceVerdict verdict = SilenceVerdict.PAUSING;
   private String lastDecision = "";
-  private boolean computingInputs;
+  private Optional<Attempt> computingInputs = Optional.empty();
   private boolean inputsFailed;
 
   AttemptReplacer(
@@ -69,7 +68,7 @@
       StreamAttempt watched = (StreamAttempt) attempt;
       timers.setWatchdog(AttemptWatchdog.forStream(loop, watched, onSilentStream(watched)));
     } else if (route.repeatability().repeatable() && route.maxAttempts() > 1) {
-      Runnable onSilent = () -> onSilent(attempt, SilenceVerdict.DOUBTFUL);
+      Runnable onSilent = () -> onSilent(attempt, SilenceVerdict.UNANSWERED);
       timers.setWatchdog(AttemptWatchdog.forWholeAnswer(loop, context.clock(), onSilent));
     }
   }
@@ -83,7 +82,7 @@
 
   private void onSilent(Attempt silent, SilenceVerdict newVerdict) {
     verdict = newVerdict;
-    boolean undecided = !attempts.hasStandby() && !computingInputs;
+    boolean undecided = !attempts.hasStandby() && computingInputs.isEmpty();
     if (!undecided || !attempts.isCurrent(silent)) {
       return;
     }
@@ -128,46 +127,46 @@
 
   private void startReplacement(Attempt silent) {
     log(silent, "replacement granted");
-    if (!stream.isStarted()) {
-      timers.stopWatchdog();
-      abandon(silent, true);
-      replaceAction.accept(silent);
-    } else if (context.inputs().areAvailable()) {
-      sendStandby();
+    if (context.inputs().areAvailable()) {
+      sendReplacement(silent);
     } else {
-      computingInputs = true;
+      computingInputs = Optional.of(silent);
       context.stagePlan().restart();
     }
   }
 
-  private void sendStandby() {
-    Optional<UpstreamRecord> next = context.candidates().chooseNext();
-    next.ifPresent(sender::sendStandby);
+  private void sendReplacement(Attempt silent) {
+    if (stream.isStarted()) {
+      context.candidates().chooseNext().ifPresent(sender::sendStandby);
+    } else {
+      timers.stopWatchdog();
+      abandon(silent, true);
+      replaceAction.accept(silent);
+    }
   }
 
   /**
-   * Called when stage work is done; returns whether it was done for a standby, which is sent now.
+   * Called when stage work is done; returns whether it was done to replace a silent attempt, which
+   * happens now.
    */
   boolean inputsComputed() {
-    boolean forStandby = computingInputs;
-    computingInputs = false;
-    if (forStandby) {
-      sendStandby();
-    }
-    return forStandby;
+    Optional<Attempt> silent = computingInputs;
+    computingInputs = Optional.empty();
+    silent.ifPresent(this::sendReplacement);
+    return silent.isPresent();
   }
 
   /** Called when stage work has failed; returns whether the current attempt goes on without it. */
   boolean inputsFailed() {
-    inputsFailed = computingInputs;
-    computingInputs = false;
+    inputsFailed = computingInputs.isPresent();
+    computingInputs = Optional.empty();
     return inputsFailed;
   }
 
   /** Called when an attempt has answered: it becomes the only one. */
   void answered(Attempt winner) {
-    if (computingInputs) {
-      computingInputs = false;
+    if (computingInputs.isPresent()) {
+      computingInputs = Optional.empty();
       context.stagePlan().cancel();
     }
     boolean standbyWon = !attempts.isCurrent(winner);
@@ -190,13 +189,13 @@
    * will be sent once its inputs are computed.
    */
   boolean otherGoesOn(Attempt ended) {
-    boolean standbyPending = computingInputs;
-    computingInputs = false;
+    boolean replacementPending = computingInputs.isPresent();
+    computingInputs = Optional.empty();
     boolean wasCurrent = attempts.isCurrent(ended);
     Optional<Attempt> remaining = attempts.remove(ended);
     if (wasCurrent) {
       remaining.ifPresent(this::watch);
     }
-    return standbyPending || remaining.isPresent();
+    return replacementPending || remaining.isPresent();
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/SilenceAssessment.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/SilenceAssessment.java
@@ -23,6 +23,7 @@
   private RunObserver observer;
   private SilenceVerdict verdict = SilenceVerdict.PAUSING;
   private long silenceStartNanos;
+  private boolean begun;
   private long nextInspectionMillis;
   private long intervalMillis;
   private boolean inspecting;
@@ -31,13 +32,13 @@
     this.inspector = inspector;
     this.attempt = attempt;
     this.requestId = requestId;
-    this.observer = new RunObserver(requestId);
+    this.observer = new RunObserver(requestId, false);
     reset();
   }
 
   /** Called while the attempt is silent; returns what is known, and asks again if that is due. */
   SilenceVerdict assess() {
-    if (silenceStartNanos != attempt.lastActivityNanos()) {
+    if (silenceStartNanos != attempt.lastActivityNanos() || begun != attempt.hasStartedEvents()) {
       reset();
     }
     if (!inspecting && attempt.silentMillis() >= nextInspectionMillis) {
@@ -48,7 +49,8 @@
 
   private void reset() {
     silenceStartNanos = attempt.lastActivityNanos();
-    observer = new RunObserver(requestId);
+    begun = attempt.hasStartedEvents();
+    observer = new RunObserver(requestId, begun);
     verdict = SilenceVerdict.PAUSING;
     nextInspectionMillis = 0;
     intervalMillis = FIRST_INTERVAL_MILLIS;
@@ -70,16 +72,23 @@
   private void update(Optional<RunReport> report) {
     nextInspectionMillis = attempt.silentMillis() + intervalMillis;
     intervalMillis = Math.min(MAX_INTERVAL_MILLIS, 2 * intervalMillis);
-    RunObserver.Verdict observed =
-        report.map(observer::observe).orElse(RunObserver.Verdict.UNKNOWN);
-    verdict =
-        switch (observed) {
-          case CONNECTION_LOST -> SilenceVerdict.CONNECTION_LOST;
-          case PAUSING -> SilenceVerdict.PAUSING;
-          case UNKNOWN ->
-              attempt.silentMillis() >= DOUBT_MILLIS
-                  ? SilenceVerdict.DOUBTFUL
-                  : SilenceVerdict.PAUSING;
-        };
+    verdict = report.map(observer::observe).map(this::fromReport).orElseGet(this::withoutReport);
+  }
+
+  private SilenceVerdict fromReport(RunObserver.Verdict observed) {
+    return switch (observed) {
+      case PAUSING -> SilenceVerdict.PAUSING;
+      case UNKNOWN -> isLongSilent() ? SilenceVerdict.DOUBTFUL : SilenceVerdict.PAUSING;
+      case DOUBTFUL -> SilenceVerdict.DOUBTFUL;
+      case CONNECTION_LOST -> SilenceVerdict.CONNECTION_LOST;
+    };
+  }
+
+  private SilenceVerdict withoutReport() {
+    return isLongSilent() ? SilenceVerdict.UNANSWERED : SilenceVerdict.PAUSING;
+  }
+
+  private boolean isLongSilent() {
+    return attempt.silentMillis() >= DOUBT_MILLIS;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/SilenceVerdict.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/SilenceVerdict.java
@@ -4,8 +4,10 @@
 enum SilenceVerdict {
   /** The upstream may only pause; the attempt must go on. */
   PAUSING("pausing"),
-  /** Nothing shows that the upstream still processes the request. */
+  /** The upstream is alive, but nothing shows that it processes the request. */
   DOUBTFUL("doubtful"),
+  /** Nothing shows that the upstream is alive. */
+  UNANSWERED("unanswered"),
   /** The upstream is alive, but its answer can no longer arrive on the connection. */
   CONNECTION_LOST("connection-lost");
 
--- a/gradeledge-core/src/test/java/org/gradeledge/inspection/RunInspectorTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/inspection/RunInspectorTests.java
@@ -11,6 +11,7 @@
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.discovery.UpstreamRecord;
+import org.gradeledge.event.EventLogs;
 import org.gradeledge.limit.SendLimiter;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,7 +26,8 @@
   private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
   private final FakeRunReports reports = new FakeRunReports(caller);
   private final RunInspector inspector =
-      new RunInspector(caller, reports, SendLimiter.UNLIMITED, channel.eventLoop());
+      new RunInspector(
+          caller, reports, SendLimiter.UNLIMITED, channel.eventLoop(), EventLogs.silent());
   private final List<Optional<RunReport>> received = new ArrayList<>();
 
   @BeforeEach
@@ -80,7 +82,8 @@
   @Test
   void asksNothingThatTheUpstreamDoesNotAccept() {
     SendLimiter closed = new ClosedLimiter();
-    RunInspector limited = new RunInspector(caller, reports, closed, channel.eventLoop());
+    RunInspector limited =
+        new RunInspector(caller, reports, closed, channel.eventLoop(), EventLogs.silent());
     limited.inspect(UPSTREAM, received::add);
     assertThat(received).isEmpty();
     channel.runPendingTasks();
--- a/gradeledge-core/src/test/java/org/gradeledge/inspection/RunObserverTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/inspection/RunObserverTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.gradeledge.inspection.RunObserver.Verdict.CONNECTION_LOST;
+import static org.gradeledge.inspection.RunObserver.Verdict.DOUBTFUL;
 import static org.gradeledge.inspection.RunObserver.Verdict.PAUSING;
 import static org.gradeledge.inspection.RunObserver.Verdict.UNKNOWN;
 
@@ -10,7 +11,7 @@
 
 class RunObserverTests {
 
-  private final RunObserver observer = new RunObserver("r1");
+  private final RunObserver observer = new RunObserver("r1", true);
 
   // Guards against taking an upstream that makes no events for a lost connection.
   @Test
@@ -44,6 +45,24 @@
     assertThat(observer.observe(running(1))).isEqualTo(PAUSING);
   }
 
+  // Guards against taking a request whose prompt is read for one whose connection was lost.
+  @Test
+  void runWithoutEventsThatIsInNoReportIsDoubtful() {
+    RunObserver unbegun = new RunObserver("r1", false);
+
+    assertThat(unbegun.observe(ended())).isEqualTo(PAUSING);
+    assertThat(unbegun.observe(ended())).isEqualTo(DOUBTFUL);
+    assertThat(unbegun.observe(running(0))).isEqualTo(PAUSING);
+  }
+
+  @Test
+  void runWhoseFirstEventsDoNotArriveHasLostItsConnection() {
+    RunObserver unbegun = new RunObserver("r1", false);
+
+    assertThat(unbegun.observe(running(3))).isEqualTo(PAUSING);
+    assertThat(unbegun.observe(running(3))).isEqualTo(CONNECTION_LOST);
+  }
+
   // Guards against a verdict from single reports that passed an event on its way.
   @Test
   void singleReportsOfLossDecideNothing() {
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SilencePropertyTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SilencePropertyTests.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -15,10 +14,6 @@
 import net.jqwik.api.ShrinkingMode;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.FakeUpstreamCaller;
-import org.gradeledge.deployment.Repeatability;
-import org.gradeledge.deployment.RouteDefinition;
-import org.gradeledge.deployment.TestDeployments;
-import org.gradeledge.deployment.WeightedService;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.inspection.RunReport;
 
@@ -30,7 +25,6 @@
 
   private static final String REQUEST = "r1";
   private static final int EVENTS = 5;
-  private static final long TIMEOUT_MILLIS = 15_000;
   private static final long STEP_MILLIS = 50;
 
   /** Time within which a stream goes on after its connection was lost. */
@@ -88,7 +82,9 @@
     if (random.nextInt(3) == 0) {
       box.spendRetryBudget();
     }
-    for (long time = STEP_MILLIS; time < TIMEOUT_MILLIS && !hasEnded(); time += STEP_MILLIS) {
+    for (long time = STEP_MILLIS;
+        time < SilentStreams.TIMEOUT_MILLIS && !hasEnded();
+        time += STEP_MILLIS) {
       List<Run> healthyBefore = runs.stream().filter(Run::isHealthy).toList();
       step(true);
       if (hasEnded() && !isComplete()) {
@@ -123,9 +119,9 @@
     probabilityOfEvent = 0.02 + 0.3 * random.nextDouble();
     box =
         new SimulatedRelay(
-            route(),
+            SilentStreams.route(),
             IntStream.range(0, upstreams)
-                .mapToObj(SilencePropertyTests::upstream)
+                .mapToObj(number -> SilentStreams.upstream(number + 1, "v1"))
                 .toArray(UpstreamRecord[]::new));
     box.send(REQUEST, List.of());
     collectCalls();
@@ -195,26 +191,4 @@
   private static List<Integer> numbersUpTo(int last) {
     return IntStream.rangeClosed(1, last).boxed().toList();
   }
-
-  private static RouteDefinition route() {
-    RouteDefinition template =
-        TestDeployments.route(SimulatedRelay.HOST, "/path/", Repeatability.RESUMABLE_STREAM);
-    return new RouteDefinition(
-        template.name(),
-        template.host(),
-        template.pathPrefix(),
-        template.repeatability(),
-        TIMEOUT_MILLIS,
-        template.targetLatencyMillis(),
-        template.priority(),
-        template.maxAttempts(),
-        List.of(new WeightedService("service", 1)),
-        template.stages(),
-        template.publicAccess());
-  }
-
-  private static UpstreamRecord upstream(int number) {
-    return new UpstreamRecord(
-        "u" + number, 0, "service", "10.0.0.1", number + 1, "zone", 8, false, 0, Optional.of("v1"));
-  }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -129,7 +129,8 @@
             sendLimiter,
             retryBudget,
             upstreamCaller,
-            new RunInspector(reportCaller, reports, SendLimiter.UNLIMITED, channel.eventLoop()),
+            new RunInspector(
+                reportCaller, reports, SendLimiter.UNLIMITED, channel.eventLoop(), log.eventLog()),
             new LivenessChecker(upstreamCaller, upstreams::hasLeft),
             quarantine,
             trials,
