--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakBox.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 import org.gradeledge.standin.JavaCommand;
 
 /** A box that runs in a process of its own, with a proxy to the store that can inject faults. */
@@ -66,7 +67,7 @@
     incarnation++;
     Path settings = folder.resolve("box-" + number + ".json");
     Files.writeString(settings, FleetConfiguration.settings(ports, storeLink.address(), seeds));
-    File log = folder.resolve("box-" + number + ".log").toFile();
+    File log = logFile().toFile();
     ProcessBuilder builder =
         new ProcessBuilder(JavaCommand.of("-Xss256k", "org.gradeledge.adapter.PlatformMain"));
     builder.environment().put("GRADELEDGE_SETTINGS", settings.toString());
@@ -74,6 +75,15 @@
     process = builder.start();
   }
 
+  private Path logFile() {
+    return folder.resolve("box-" + number + ".log");
+  }
+
+  /** Returns what all processes of the box have logged so far. */
+  Stream<String> logLines() throws IOException {
+    return Files.readAllLines(logFile()).stream();
+  }
+
   void kill() {
     process.destroyForcibly().onExit().join();
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -33,6 +33,7 @@
   private static final long ANNOUNCEMENT_SEED_MASK = 0x51617a1;
   private static final long PARTITION_SEED_MASK = 0x9a27;
   private static final long VERSION_SEED_MASK = 0x7e12;
+  private static final long SILENCE_SEED_MASK = 0x511e;
 
   private final Random faultRandom;
   private final Random restartRandom;
@@ -40,6 +41,7 @@
   private final Random announcementRandom;
   private final Random partitionRandom;
   private final Random versionRandom;
+  private final Random silenceRandom;
   private final Path folder;
   private final int timeoutFactor;
   private final long endMillis;
@@ -69,6 +71,7 @@
     this.announcementRandom = new Random(seed ^ ANNOUNCEMENT_SEED_MASK);
     this.partitionRandom = new Random(seed ^ PARTITION_SEED_MASK);
     this.versionRandom = new Random(seed ^ VERSION_SEED_MASK);
+    this.silenceRandom = new Random(seed ^ SILENCE_SEED_MASK);
     this.engines = new SoakEngines(store, faultRandom);
     this.versionedEngines = new SoakVersionedEngines(store);
     this.streamCallers = new SoakStreamCallers(boxes, versionedEngines);
@@ -122,7 +125,7 @@
   }
 
   private void runAllSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 5);
+    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 6);
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < FAULT_SERIES; i++) {
       Random random = new Random(faultRandom.nextLong());
@@ -133,6 +136,7 @@
     running.add(series.submit(() -> runSeries(SoakAnnouncementStep.values(), announcementRandom)));
     running.add(series.submit(() -> runSeries(SoakPartitionStep.values(), partitionRandom)));
     running.add(series.submit(() -> runSeries(SoakVersionStep.values(), versionRandom)));
+    running.add(series.submit(() -> runSeries(SoakSilenceStep.values(), silenceRandom)));
     for (Future<?> each : running) {
       each.get();
     }
@@ -220,6 +224,7 @@
   private void clearFaults() throws IOException {
     store.setFault(StoreFault.NONE);
     engines.clearFaults();
+    versionedEngines.clearFaults();
     boxes.forEach(box -> box.storeLink().setFault(FaultyLink.Fault.NONE));
     boxes.forEach(box -> box.upstreamLinks().setFault(FaultyLink.Fault.NONE));
   }
@@ -244,7 +249,7 @@
     }
   }
 
-  private void checkResults() {
+  private void checkResults() throws IOException {
     List<ReceivedRequest> executed = engines.executedRequests();
     violations.addAll(SoakChecks.checkResponses(callers.calls()));
     violations.addAll(SoakChecks.checkNoRepeatedRuns(executed));
@@ -256,6 +261,9 @@
     violations.addAll(SoakAnnouncementChecks.checkBackoffs(callers.calls(), engines.allEngines()));
     violations.addAll(SoakStreamChecks.checkVersions(streamCallers.streams()));
     violations.addAll(SoakStreamChecks.checkResumptions(streamCallers.streams()));
+    for (SoakBox box : boxes) {
+      violations.addAll(SoakLogChecks.checkCutStreams(box.logLines()));
+    }
     engineSteps.checkDepartedEngines();
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakVersionedEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakVersionedEngines.java
@@ -64,6 +64,15 @@
     }
   }
 
+  FleetEngine randomEngine(Random random) {
+    return serving.get(random.nextInt(serving.size()));
+  }
+
+  /** Ends all faults. */
+  void clearFaults() {
+    all.forEach(engine -> engine.silence().resume());
+  }
+
   /** Returns the number of engines of a software version that serve without a fault. */
   long soundCount(String version) {
     return serving.stream()
