Record stage crashes also while a silent attempt goes on; name callbacks of AttemptReplacer as such

A group that was computed for the replacement of a silent attempt and failed did not count towards the quarantine of its request. Found on reading. onEnded, onAnswered, onInputsComputed, onInputsFailed in place of names that read like questions.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
@@ -165,7 +165,7 @@
    * Called when stage work is done; returns whether it was done to replace a silent attempt, which
    * happens now.
    */
-  boolean inputsComputed() {
+  boolean onInputsComputed() {
     Optional<Attempt> silent = computingInputs;
     computingInputs = Optional.empty();
     silent.ifPresent(this::sendReplacement);
@@ -173,14 +173,14 @@
   }
 
   /** Called when stage work has failed; returns whether the current attempt goes on without it. */
-  boolean inputsFailed() {
+  boolean onInputsFailed() {
     inputsFailed = computingInputs.isPresent();
     computingInputs = Optional.empty();
     return inputsFailed;
   }
 
   /** Called when an attempt has answered: it becomes the only one. */
-  void answered(Attempt winner) {
+  void onAnswered(Attempt winner) {
     if (computingInputs.isPresent()) {
       computingInputs = Optional.empty();
       context.stagePlan().cancel();
@@ -210,7 +210,7 @@
    * Called when an attempt has ended without an answer; returns whether another one goes on, or
    * will be sent once its inputs are computed.
    */
-  boolean otherGoesOn(Attempt ended) {
+  boolean onEnded(Attempt ended) {
     boolean replacementPending = computingInputs.isPresent();
     computingInputs = Optional.empty();
     boolean wasCurrent = attempts.isCurrent(ended);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import org.gradeledge.batch.StageGroupResult;
 import org.gradeledge.connection.CallFailure;
-import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /**
@@ -18,7 +17,6 @@
   private static final int INPUTS_GONE_STATUS = 409;
 
   private final RelayServices services;
-  private final RouteDefinition route;
   private final ExchangeContext context;
   private final ExchangeOutcome outcome;
   private final StagePlan stagePlan;
@@ -35,8 +33,7 @@
   RelayExchange(ExchangeContext context, Consumer<RelayExchange> onFinished) {
     AdmittedRequest admitted = context.admitted();
     this.services = context.services();
-    this.route = admitted.route();
-    this.history = new AttemptHistory(route);
+    this.history = new AttemptHistory(admitted.route());
     this.quarantine = new RequestQuarantine(services, admitted);
     this.timers = new ExchangeTimers(services.eventLoop(), context.clock());
     this.context = context;
@@ -58,10 +55,14 @@
   }
 
   private void proceed(boolean mayRun) {
-    if (!mayRun || outcome.isFinished()) {
+    if (!mayRun) {
       rejectQuarantined();
-      return;
+    } else if (!outcome.isFinished()) {
+      begin();
     }
+  }
+
+  private void begin() {
     context.countRequest();
     if (stagePlan.isEmpty()) {
       dispatch();
@@ -93,18 +94,17 @@
 
   private void stagesCompleted(List<String> results) {
     context.stagesCompleted(results);
-    if (!replacer.inputsComputed()) {
+    if (!replacer.onInputsComputed()) {
       dispatch();
     }
   }
 
   private void stagesFailed(int stage, StageGroupResult result) {
-    if (replacer.inputsFailed()) {
-      return;
-    }
-    outcome.setJitteredRetryAfter(result.comeBackMillis());
     quarantine.recordStageCrashes(result.endedUpstreams());
-    finish(Refusal.STAGES_FAILED, "stage " + stage + " " + result.outcome());
+    if (!replacer.onInputsFailed()) {
+      outcome.setJitteredRetryAfter(result.comeBackMillis());
+      finish(Refusal.STAGES_FAILED, "stage " + stage + " " + result.outcome());
+    }
   }
 
   private void dispatch() {
@@ -135,7 +135,7 @@
     boolean inputsMissing = status == INPUTS_GONE_STATUS && context.inputs().recordMissing();
     boolean permanent = status <= INPUTS_GONE_STATUS;
     context.recordRejection(rejected.upstream(), permanent, signals);
-    if (replacer.otherGoesOn(rejected)) {
+    if (replacer.onEnded(rejected)) {
       return;
     }
     timers.stopWatchdog();
@@ -160,7 +160,7 @@
   @Override
   public void failed(Attempt failedAttempt, CallFailure failure) {
     outcome.attemptFailed(failedAttempt.upstream(), failure.name());
-    boolean otherGoesOn = replacer.otherGoesOn(failedAttempt);
+    boolean otherGoesOn = replacer.onEnded(failedAttempt);
     if (failure.isRequestSent()) {
       boolean mayRun = history.mayRunAgain();
       history.recordPossibleRun();
@@ -199,7 +199,7 @@
       body.release();
       fail(Refusal.BROKEN, "status " + status + " in place of the rest of a stream");
     } else {
-      replacer.answered(answered);
+      replacer.onAnswered(answered);
       release();
       outcome.answered(status, headers, body);
     }
@@ -208,7 +208,7 @@
   /** Returns whether another attempt takes the place of one that was answered with an error. */
   private boolean replacesAnswer(Attempt answered, int status) {
     boolean mayReplace = history.mayReplaceAnswer(status);
-    boolean otherGoesOn = (mayReplace || stream.isStarted()) && replacer.otherGoesOn(answered);
+    boolean otherGoesOn = (mayReplace || stream.isStarted()) && replacer.onEnded(answered);
     if (!otherGoesOn && !(mayReplace && context.trySpendRetry())) {
       return false;
     }
@@ -223,14 +223,14 @@
 
   @Override
   public void eventsReceived(StreamAttempt source, ByteBuf events) {
-    replacer.answered(source);
+    replacer.onAnswered(source);
     stream.forward(source, events);
   }
 
   @Override
   public void streamEnded(StreamAttempt source) {
     quarantine.recordAnswered(source.status());
-    replacer.answered(source);
+    replacer.onAnswered(source);
     release();
     outcome.endStream();
   }
