--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SilentStagedStreamTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SilentStagedStreamTests.java
@@ -8,10 +8,11 @@
 import static org.gradeledge.relay.SilentStreams.STAGE;
 import static org.gradeledge.relay.SilentStreams.TARGET_MILLIS;
 import static org.gradeledge.relay.SilentStreams.advanceAndReport;
+import static org.gradeledge.relay.SilentStreams.beginStaged;
 import static org.gradeledge.relay.SilentStreams.route;
+import static org.gradeledge.relay.SilentStreams.sendStaged;
 import static org.gradeledge.relay.SilentStreams.upstream;
 
-import java.util.List;
 import org.gradeledge.batch.StageOutcome;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.FakeUpstreamCaller;
@@ -28,10 +29,7 @@
   @Test
   void continuesBrokenStreamWithNewStageInputs() throws Exception {
     SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
-    box.send("r1", List.of(1));
-    box.stageWorkClient.complete(0);
-    FakeUpstreamCaller.Call first = box.upstreamCaller.nextCall();
-    first.beginResponse(200, FIRST_EVENT);
+    FakeUpstreamCaller.Call first = beginStaged(box);
     box.advance(TARGET_MILLIS + 1);
 
     first.fail(CallFailure.BROKEN);
@@ -50,9 +48,7 @@
   @Test
   void promisesNothingIfStageWorkFailsAfterARun() throws Exception {
     SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
-    box.send("r1", List.of(1));
-    box.stageWorkClient.complete(0);
-    FakeUpstreamCaller.Call call = box.upstreamCaller.nextCall();
+    FakeUpstreamCaller.Call call = sendStaged(box);
     call.notifySent();
     box.advance(INPUT_RELEASE_MILLIS);
     call.fail(CallFailure.BROKEN);
@@ -67,10 +63,7 @@
   @Test
   void keepsSilentStreamWhileItsInputsAreComputedAgain() throws Exception {
     SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
-    box.send("r1", List.of(1));
-    box.stageWorkClient.complete(0);
-    FakeUpstreamCaller.Call call = box.upstreamCaller.nextCall();
-    call.beginResponse(200, FIRST_EVENT);
+    FakeUpstreamCaller.Call call = beginStaged(box);
     advanceAndReport(box, SILENCE_MILLIS);
     assertThat(box.stageWorkClient.submittedStages()).containsExactly(0, 0);
     assertThat(box.upstreamCaller.hasNoCalls()).isTrue();
@@ -87,9 +80,7 @@
   @Test
   void keepsSilentAttemptWithoutEventsIfItsInputsWouldBeLate() throws Exception {
     SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
-    box.send("r1", List.of(1));
-    box.stageWorkClient.complete(0);
-    FakeUpstreamCaller.Call call = box.upstreamCaller.nextCall();
+    FakeUpstreamCaller.Call call = sendStaged(box);
     call.notifySent();
 
     advanceAndReport(box, SILENCE_MILLIS);
@@ -103,10 +94,7 @@
   @Test
   void computesInputsAgainAfterTheStreamWentOnMeanwhile() throws Exception {
     SimulatedRelay box = new SimulatedRelay(route(STAGE), upstream(1, "v1"), upstream(2, "v1"));
-    box.send("r1", List.of(1));
-    box.stageWorkClient.complete(0);
-    FakeUpstreamCaller.Call call = box.upstreamCaller.nextCall();
-    call.beginResponse(200, FIRST_EVENT);
+    FakeUpstreamCaller.Call call = beginStaged(box);
     advanceAndReport(box, SILENCE_MILLIS);
     call.sendContent(SECOND_EVENT);
     advanceAndReport(box, SILENCE_MILLIS);
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SilentStreams.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SilentStreams.java
@@ -49,6 +49,20 @@
     return call;
   }
 
+  /** Sends a request with stage work and computes its inputs. */
+  static FakeUpstreamCaller.Call sendStaged(SimulatedRelay box) throws InterruptedException {
+    box.send("r1", List.of(1));
+    box.stageWorkClient.complete(0);
+    return box.upstreamCaller.nextCall();
+  }
+
+  /** Sends a request with stage work and forwards its first event. */
+  static FakeUpstreamCaller.Call beginStaged(SimulatedRelay box) throws InterruptedException {
+    FakeUpstreamCaller.Call call = sendStaged(box);
+    call.beginResponse(200, FIRST_EVENT);
+    return call;
+  }
+
   /** Returns a route of streams that may be resumed. */
   static RouteDefinition route(StageWork... stages) {
     RouteDefinition template =
