Read again: remove what nobody reads any more, name what a newcomer would stop at

- RelayExchange stopped the watchdog in three places where AttemptReplacer.onEnded has stopped it.
- The stand-in engine had two loops that send the events of a stream.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -105,7 +105,6 @@
   /** An answer of another upstream at the same address says nothing about this one. */
   private void recordSignOfLife(AnswerSignals signals) {
     if (!signals.addressReused()) {
-      services.loads().recordActivity(upstream);
       services.quarantine().recordAlive(upstream.incarnationId(), startNanos);
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
@@ -200,7 +200,9 @@
 
   private void abandon(Attempt loser, boolean wasSilent) {
     history.recordPossibleRun();
-    context.outcome().attemptAbandoned(loser.upstream(), wasSilent ? verdict.label() : "late");
+    context
+        .outcome()
+        .attemptAbandoned(loser.upstream(), wasSilent ? verdict.label() : "other-answered");
     if (wasSilent) {
       loser.abandonAsSilent(verdict);
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
@@ -95,12 +95,12 @@
   /**
    * Records that an upstream has not run the request.
    *
-   * @param permanent whether it would reject the request again
+   * @param mayAcceptLater whether it lacked capacity only
    */
-  void recordRejection(UpstreamRecord upstream, boolean permanent, AnswerSignals signals) {
+  void recordRejection(UpstreamRecord upstream, boolean mayAcceptLater, AnswerSignals signals) {
     if (signals.addressReused()) {
       services.upstreams().markGone(upstream);
-    } else if (!permanent) {
+    } else if (mayAcceptLater) {
       services.loads().avoidFor(upstream, REJECTION_PAUSE_MILLIS);
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -133,15 +133,14 @@
   public void notRun(Attempt rejected, int status, HttpHeaders headers, AnswerSignals signals) {
     outcome.attemptNotRun(rejected.upstream(), status);
     boolean inputsMissing = status == INPUTS_GONE_STATUS && context.inputs().recordMissing();
-    boolean permanent = status <= INPUTS_GONE_STATUS;
-    context.recordRejection(rejected.upstream(), permanent, signals);
+    boolean mayAcceptLater = status > INPUTS_GONE_STATUS;
+    context.recordRejection(rejected.upstream(), mayAcceptLater, signals);
     if (replacer.onEnded(rejected)) {
       return;
     }
-    timers.stopWatchdog();
     if (inputsMissing) {
       recomputeInputs();
-    } else if (permanent && !signals.addressReused()) {
+    } else if (!mayAcceptLater && !signals.addressReused()) {
       finish(Refusal.STAGES_FAILED, "upstream refused with " + status);
     } else {
       retry("not run, status " + status, Refusal.UPSTREAMS_FULL, true);
@@ -180,7 +179,6 @@
   }
 
   private void retry(String reason, Refusal refusal, boolean spendsRetry) {
-    timers.stopWatchdog();
     if (history.isExhausted()) {
       fail(refusal, reason);
     } else if (spendsRetry && !context.trySpendRetry()) {
@@ -215,7 +213,6 @@
     history.recordPossibleRun();
     outcome.attemptFailed(answered.upstream(), "status-" + status);
     if (!otherGoesOn) {
-      timers.stopWatchdog();
       dispatch();
     }
     return true;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/SilenceAssessment.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/SilenceAssessment.java
@@ -40,7 +40,6 @@
     this.attempt = attempt;
     this.requestId = requestId;
     this.resumed = resumed;
-    this.observer = new RunObserver(requestId, false, resumed);
     reset();
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
@@ -68,7 +68,6 @@
   @Override
   public void onContent(ByteBuf content) {
     recordActivity();
-    services().loads().recordActivity(upstream());
     if (!isStream()) {
       byte[] bytes = new byte[content.readableBytes()];
       content.readBytes(bytes);
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoad.java
@@ -23,7 +23,6 @@
   private int consecutiveFailures;
   private long avoidanceMillis = INITIAL_AVOIDANCE_MILLIS;
   private long avoidedUntilNanos = Long.MIN_VALUE;
-  private long lastActivityNanos;
 
   void recordStart(long requestMemory) {
     inFlight++;
@@ -62,14 +61,6 @@
     return avoidedUntilNanos != Long.MIN_VALUE && nowNanos - avoidedUntilNanos < 0;
   }
 
-  void recordActivity(long nowNanos) {
-    lastActivityNanos = nowNanos;
-  }
-
-  long silentMillis(long nowNanos) {
-    return (nowNanos - lastActivityNanos) / 1_000_000;
-  }
-
   void setPeerLoad(String box, BoxLoad load) {
     subtract(loadByPeer.put(box, load));
     inFlightAtPeers += load.inFlight();
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoads.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoads.java
@@ -31,11 +31,7 @@
 
   /** Records a request sent to an upstream. */
   public void recordStart(UpstreamRecord upstream, long memory) {
-    UpstreamLoad load = load(upstream.incarnationId());
-    if (load.ownLoad().inFlight() == 0) {
-      load.recordActivity(clock.nanos());
-    }
-    load.recordStart(memory);
+    load(upstream.incarnationId()).recordStart(memory);
   }
 
   /** Records the end of a request, whatever its result. */
@@ -87,16 +83,6 @@
     load(upstream.incarnationId()).avoidFor(millis, clock.nanos());
   }
 
-  /** Records that data was received from an upstream. */
-  public void recordActivity(UpstreamRecord upstream) {
-    load(upstream.incarnationId()).recordActivity(clock.nanos());
-  }
-
-  /** Returns how long an upstream has sent nothing while this box had requests in flight there. */
-  public long silentMillis(UpstreamRecord upstream) {
-    return load(upstream.incarnationId()).silentMillis(clock.nanos());
-  }
-
   /** Replaces the loads reported by a peer. */
   public void setPeerLoads(String box, Map<String, BoxLoad> loads) {
     Set<String> previous = reportedByBox.getOrDefault(box, Set.of());
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SilencePropertyTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SilencePropertyTests.java
@@ -36,7 +36,7 @@
   private final List<Run> runs = new ArrayList<>();
   private double probabilityOfEvent;
 
-  /** A run at an upstream, which goes on when nobody receives its events. */
+  /** A run at an upstream, which goes on after its connection was lost. */
   private static final class Run {
 
     private final FakeUpstreamCaller.Call call;
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineConnection.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineConnection.java
@@ -48,22 +48,24 @@
   }
 
   /** Sends an event stream with a delay before each of its events. */
-  boolean sendSlowly(ReceivedRequest request, List<String> events) throws IOException {
-    send(RawHttpResponse.eventStreamHead(request, FleetEngineResponses.CHUNKED));
-    for (String event : events) {
-      LockSupport.parkNanos(EVENT_DELAY_NANOS);
-      send(RawHttpResponse.chunk(event));
-    }
-    return send("0\r\n\r\n");
+  boolean sendSlowly(ReceivedRequest request, List<String> events)
+      throws IOException, InterruptedException {
+    return sendEvents(request, events, EVENT_DELAY_NANOS);
   }
 
-  /** Sends an event stream that may fall silent. */
+  /** Sends an event stream, which may fall silent. */
   boolean sendEvents(ReceivedRequest request, List<String> events)
       throws IOException, InterruptedException {
+    return sendEvents(request, events, 0);
+  }
+
+  private boolean sendEvents(ReceivedRequest request, List<String> events, long delayNanos)
+      throws IOException, InterruptedException {
     String run = request.header("X-Request-Id");
     try {
       send(RawHttpResponse.eventStreamHead(request, FleetEngineResponses.CHUNKED));
       for (int event = 0; event < events.size(); event++) {
+        LockSupport.parkNanos(delayNanos);
         silence.beforeEvent(run, event, socket);
         sendUnlessSevered(RawHttpResponse.chunk(events.get(event)));
       }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineSilence.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineSilence.java
@@ -21,7 +21,6 @@
       Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
   private int pauseAfter = NEVER;
   private int severAfter = NEVER;
-  private int pausedRuns;
 
   /** Pauses each stream after the given number of its events until {@link #resume}. */
   public synchronized void pauseAfter(int events) {
@@ -40,11 +39,6 @@
     notifyAll();
   }
 
-  /** Returns whether a stream is paused. */
-  public synchronized boolean hasPaused() {
-    return pausedRuns > 0;
-  }
-
   /** Severs connections for good; the engine goes on with what it received on them. */
   void sever(Iterable<Socket> connections) {
     connections.forEach(severed::add);
@@ -69,11 +63,9 @@
   }
 
   private synchronized void awaitResumed(int eventsBefore) throws InterruptedException {
-    pausedRuns++;
     while (eventsBefore >= pauseAfter) {
       wait();
     }
-    pausedRuns--;
   }
 
   void runEnded(String run) {
