Observability of SHORT: who gets a stage service's time, and at which point requests are refused

A request that was refused on arrival, one that waited too long and one whose stage work failed all ended as stages_failed, by no route, and no line told which priority got the time of a stage service or how many of its upstreams were called. request-ended has refused-at, stage-usage is a line for each second with waiting pieces; counters by route and by service and priority. The metrics of routes are bounded to 100 routes.

No behaviour changes.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchContext.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchContext.java
@@ -36,6 +36,7 @@
     SendLimiter sendLimiter,
     StageProtocol protocol,
     EventLog events,
+    StageMeter meter,
     PendingPieces pendingPieces,
     Function<String, Optional<BatchLimits>> limitsByService,
     Consumer<List<String>> releaser) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -57,6 +57,7 @@
             builder.sendLimiter,
             builder.protocol,
             builder.events,
+            builder.meter,
             builder.pendingPieces,
             builder.limits,
             this::release);
@@ -138,7 +139,8 @@
   }
 
   /**
-   * Builds a coordinator; all parts except the pending pieces and the send limiter are required.
+   * Builds a coordinator; all parts except the pending pieces, the send limiter and the meter are
+   * required.
    */
   public static final class Builder {
 
@@ -151,6 +153,7 @@
     private UpstreamCaller caller;
     private StageProtocol protocol;
     private EventLog events;
+    private StageMeter meter = StageMeter.NONE;
     private PendingPieces pendingPieces = new PendingPieces();
     private SendLimiter sendLimiter = SendLimiter.UNLIMITED;
     private Function<String, Optional<BatchLimits>> limits;
@@ -201,6 +204,12 @@
       return this;
     }
 
+    /** Sets the meter of stage work; none by default. */
+    public Builder meter(StageMeter stageMeter) {
+      this.meter = stageMeter;
+      return this;
+    }
+
     /** Creates the coordinator. */
     public BatchCoordinator build() {
       return new BatchCoordinator(this);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -36,6 +36,7 @@
   private final PieceRetries retries;
   private final CallTimeouts timeouts;
   private final QueueForecast forecast;
+  private final PriorityUsage usage;
   private final CrashCheck crashCheck;
   private final DelayedRecheck recheck;
 
@@ -50,6 +51,7 @@
     this.recheck = new DelayedRecheck(loop, this::dispatch);
     this.crashCheck = new CrashCheck(context.livenessChecker(), loop);
     this.forecast = new QueueForecast(service, context, waiting, upstreams);
+    this.usage = new PriorityUsage(service, context);
   }
 
   void submit(StageGroup group, StageWorkListener listener) {
@@ -58,6 +60,7 @@
             group, context.zoneOfInputs(group), context.box(), context.clock().nanos(), listener);
     BatchLimits limits = context.limits(service).orElse(null);
     if (limits == null || forecast.isUnreachableFirstGroup(progress, limits)) {
+      usage.recordUnserved(progress, PieceOutcome.REJECTED);
       endGroup(progress, StageOutcome.LATE);
       return;
     }
@@ -97,7 +100,7 @@
     }
     long now = context.clock().nanos();
     double shortest = limits.get().expectedMillis(1);
-    waiting.removeExpired(shortest, now).forEach(group -> endGroup(group, StageOutcome.LATE));
+    waiting.removeExpired(shortest, now).forEach(this::expire);
     waiting.sort(shortest, now);
     boolean callStarted = true;
     while (callStarted && !waiting.isEmpty()) {
@@ -108,6 +111,11 @@
     }
   }
 
+  private void expire(GroupInProgress group) {
+    usage.recordUnserved(group, PieceOutcome.EXPIRED);
+    endGroup(group, StageOutcome.LATE);
+  }
+
   private boolean callNext(BatchLimits limits, long now) {
     int items = Math.min(waiting.size(), limits.maxItemsPerCall());
     return upstreams.candidates(limits, items, now).stream()
@@ -201,6 +209,7 @@
   private void recordCallEnd(BatchCall call) {
     call.writeEvent(context.events(), service, waiting.size(), context.clock().nanos());
     call.target().callEnded(call.resultBytes());
+    usage.report(waiting, upstreams);
     context.loads().recordEnd(call.target().upstream(), call.resultBytes());
   }
 
@@ -211,6 +220,7 @@
       call.target().recordSlowdown(millis / limits.expectedMillis(call.pieces().size()));
     }
     context.loads().recordSuccess(call.target().upstream(), millis);
+    usage.recordCall(call, millis);
     for (int i = 0; i < results.size(); i++) {
       handleResult(call, call.pieces().get(i), results.get(i), limits);
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstream.java
@@ -51,6 +51,11 @@
     reservedBytes -= bytes;
   }
 
+  /** Returns the estimated ratio of a call's duration to the configured one. */
+  double slowdown() {
+    return slowdown;
+  }
+
   /** Records the ratio of a call's duration to the configured one. */
   void recordSlowdown(double ratio) {
     slowdown += SMOOTHING_FACTOR * (ratio - slowdown);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -80,6 +80,15 @@
         + work * meanSlowdown / effectiveUpstreams(upstreams, limits);
   }
 
+  int usableCount() {
+    return usable().size();
+  }
+
+  /** Returns the highest ratio of observed to configured call time among the upstreams. */
+  double highestSlowdown() {
+    return usable().stream().mapToDouble(BatchUpstream::slowdown).max().orElse(1);
+  }
+
   /** Returns the mean time per piece in full calls to all upstreams. */
   double secondsPerPiece(BatchLimits limits) {
     int maxItems = limits.maxItemsPerCall();
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.gradeledge.deployment.Urgency;
 
 /** The queue of pieces that wait for one service, most urgent first. Confined to the event loop. */
 final class WaitingPieces {
@@ -58,6 +59,15 @@
         .count();
   }
 
+  /** Returns the number of pieces of each priority. */
+  long[] countByPriority() {
+    long[] counts = new long[Urgency.LEVELS];
+    for (StagePiece piece : pieces) {
+      counts[Math.max(0, Math.min(piece.group().group().priority(), counts.length - 1))]++;
+    }
+    return counts;
+  }
+
   /** Discards the pieces of a request without notifying its listeners. */
   void cancel(String requestId) {
     pieces.stream()
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -167,6 +167,7 @@
         .calls(connectivity.caller(), adapters.stageProtocol())
         .loadAndRetries(load, budget, events)
         .pendingPieces(pieces)
+        .meter(metrics)
         .sendLimiter(sendLimiter)
         .build();
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -17,6 +17,7 @@
   private static final long MAX_RETRY_AFTER_MILLIS = 2_500;
   private static final double RETRY_JITTER = 0.5;
   private static final String UNKNOWN_VERSION = "unknown";
+  private static final String PAST_TARGET = "-past-target";
 
   private final RelayServices services;
   private final AdmittedRequest admitted;
@@ -34,6 +35,7 @@
   private long sentBytes;
   private long droppedBytes;
   private long retryAfterMillis = MIN_RETRY_AFTER_MILLIS;
+  private String refusedAt = "";
   private boolean finished;
 
   ExchangeOutcome(
@@ -149,6 +151,9 @@
     }
     attemptTrace.append(" (").append(reason).append(')');
     AnswerEnd end = streaming ? AnswerEnd.CUT : AnswerEnd.REFUSED;
+    if (refusal == Refusal.STAGES_FAILED) {
+      refusedAt = timeline.refusalPoint().map(RefusalPoint::label).orElse("");
+    }
     finish(refusal.name().toLowerCase(Locale.ROOT), refusal.status(), end);
     if (streaming) {
       response.abort();
@@ -161,6 +166,7 @@
     finished = true;
     services.metrics().requestEnded(route.repeatability(), outcome, clock.elapsedMillis());
     services.metrics().answerEnded(end);
+    services.metrics().routeResult(route.name(), result(outcome));
     boolean successful = status >= 200 && status < 300 && droppedBytes == 0;
     EventLog.Event event =
         successful
@@ -171,6 +177,7 @@
         .with("route", route.name())
         .with("revision", admitted.deployment().revision())
         .with("outcome", outcome)
+        .with("refused-at", refusedAt)
         .with("status", status)
         .with("end", end.label())
         .with("sent-bytes", sentBytes)
@@ -190,6 +197,14 @@
         .write();
   }
 
+  /** Returns the result of the request in the metrics of its route. */
+  private String result(String outcome) {
+    if (!refusedAt.isEmpty()) {
+      return refusedAt;
+    }
+    return firstEventMillis > route.targetLatencyMillis() ? outcome + PAST_TARGET : outcome;
+  }
+
   private void logProblem(String name, UpstreamRecord upstream, String reason) {
     services
         .events()
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayMetrics.java
@@ -10,7 +10,11 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import org.gradeledge.batch.PieceOutcome;
+import org.gradeledge.batch.StageMeter;
 import org.gradeledge.deployment.Repeatability;
 
 /**
@@ -18,9 +22,15 @@
  *
  * @since 0.2
  */
-public final class RelayMetrics {
+public final class RelayMetrics implements StageMeter {
+
+  /** Bounds the number of time series where a configuration has many routes. */
+  private static final int MAX_LABELLED_ROUTES = 100;
+
+  private static final String OTHER_ROUTES = "other";
 
   private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Set<String> labelledRoutes = ConcurrentHashMap.newKeySet();
 
   private final Counter requests =
       Counter.builder()
@@ -38,6 +48,30 @@
           .withoutExemplars()
           .register(registry);
 
+  private final Counter routeResults =
+      Counter.builder()
+          .name("gradeledge_relay_route_results_total")
+          .help("Requests that ended, by route and what came of them")
+          .labelNames("route", "result")
+          .withoutExemplars()
+          .register(registry);
+
+  private final Counter stagePieces =
+      Counter.builder()
+          .name("gradeledge_stage_pieces_total")
+          .help("Pieces of stage work that this box queued, by what came of them")
+          .labelNames("service", "priority", "outcome")
+          .withoutExemplars()
+          .register(registry);
+
+  private final Counter stageUpstreamSeconds =
+      Counter.builder()
+          .name("gradeledge_stage_upstream_seconds_total")
+          .help("Time that upstreams spent on stage work of this box")
+          .labelNames("service", "priority")
+          .withoutExemplars()
+          .register(registry);
+
   private final Histogram seconds =
       Histogram.builder()
           .name("gradeledge_relay_request_seconds")
@@ -196,6 +230,24 @@
     seconds.labelValues(name(kind)).observe(millis / 1e3);
   }
 
+  /** Counts a request of a route by its result. */
+  void routeResult(String route, String result) {
+    boolean labelled =
+        labelledRoutes.contains(route)
+            || labelledRoutes.size() < MAX_LABELLED_ROUTES && labelledRoutes.add(route);
+    routeResults.labelValues(labelled ? route : OTHER_ROUTES, result).inc();
+  }
+
+  @Override
+  public void recordPieces(String service, int priority, PieceOutcome outcome, int pieces) {
+    stagePieces.labelValues(service, Integer.toString(priority), outcome.label()).inc(pieces);
+  }
+
+  @Override
+  public void recordUpstreamTime(String service, int priority, double millis) {
+    stageUpstreamSeconds.labelValues(service, Integer.toString(priority)).inc(millis / 1e3);
+  }
+
   /** Counts an answer that has ended. */
   void answerEnded(AnswerEnd end) {
     answers.labelValues(end.label()).inc();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -104,6 +104,7 @@
 
   private void failAsLate() {
     finished = true;
+    timeline.startRejected();
     long retryAfterMillis = estimator.longestBacklogMillis();
     onFailure.accept(
         0, new StageGroupResult(StageOutcome.LATE, List.of(), "", retryAfterMillis, 0));
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
@@ -29,6 +29,8 @@
   private static final double CALL_MILLIS = 200;
 
   private final FakeStageWorkClient client = new FakeStageWorkClient();
+  private final RequestClock clock = new RequestClock(() -> 0, 0, 4_000, 2_000);
+  private final StageTimeline timeline = new StageTimeline(clock);
   private List<StageWork> stageWork = STAGES;
   private final List<String> outcomes = new ArrayList<>();
 
@@ -141,6 +143,7 @@
     assertThat(client.submittedStages()).containsExactly(1, 0);
     assertThat(client.cancelledServices).containsExactly("a");
     assertThat(outcomes).containsExactly("failed 0 LATE");
+    assertThat(timeline.refusalPoint()).contains(RefusalPoint.STAGE_QUEUE);
   }
 
   @Test
@@ -150,6 +153,7 @@
     client.fail(1, StageOutcome.FAILED);
 
     assertThat(outcomes).containsExactly("failed 1 FAILED");
+    assertThat(timeline.refusalPoint()).contains(RefusalPoint.STAGE_WORK);
     assertThat(client.releasedHandles).containsExactly("0-0");
   }
 
@@ -161,6 +165,7 @@
 
     assertThat(outcomes).containsExactly("failed 0 LATE");
     assertThat(client.groups).isEmpty();
+    assertThat(timeline.refusalPoint()).contains(RefusalPoint.ADMISSION);
   }
 
   @Test
@@ -234,8 +239,6 @@
             0,
             List.of(pieces),
             Optional.of("key"));
-    RequestClock clock = new RequestClock(() -> 0, 0, 4_000, 2_000);
-    StageTimeline timeline = new StageTimeline(clock);
     StagePlan plan =
         new StagePlan(
             request, deployment(route), route, client, clock, priority, "zone", 100, timeline);
