--- a/gradeledge-core/src/test/java/org/gradeledge/selection/LeastLoadedChooserTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/selection/LeastLoadedChooserTests.java
@@ -5,18 +5,21 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLogs;
 import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class LeastLoadedChooserTests {
 
   private static final Demand DEMAND = new Demand(Optional.empty(), 0, 0, "zone", 0);
 
-  private final UpstreamLoads loads =
-      new UpstreamLoads(MonotonicClock.system(), EventLogs.silent());
+  private long nowMillis = 1_000;
+  private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
+  private final UpstreamLoads loads = new UpstreamLoads(clock, EventLogs.silent());
   private final LeastLoadedChooser chooser = new LeastLoadedChooser(loads, new Random(1));
   private final UpstreamRecord one = upstream("one");
   private final UpstreamRecord two = upstream("two");
@@ -50,6 +53,20 @@
     assertThat(timesChosen(two)).isGreaterThan(timesChosen(one));
   }
 
+  // Guards against an upstream that was slow once and is not chosen again until others are full.
+  @Test
+  @Tag("known-red")
+  void choosesUpstreamAgainThatWasSlowSomeTimeAgo() {
+    loads.recordSuccess(one, 3_000);
+    loads.recordSuccess(two, 20);
+    assertThat(timesChosen(one)).isZero();
+
+    nowMillis += 30_000;
+    loads.recordSuccess(two, 20);
+
+    assertThat(timesChosen(one)).isPositive();
+  }
+
   private long timesChosen(UpstreamRecord upstream) {
     return IntStream.range(0, 100)
         .mapToObj(i -> chooser.choose(List.of(one, two), DEMAND).orElseThrow())
