--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
@@ -16,6 +16,11 @@
   /** Cancels the call. */
   void cancel();
 
+  /** Returns how often events of the answer have been received. */
+  default int eventReads() {
+    return 0;
+  }
+
   /** Returns the time since something was last received for this attempt. */
   long silentMillis();
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -45,7 +45,7 @@
     this.sender = new AttemptSender(context, history, quarantine, stream, attempts, this);
     this.replacer =
         new AttemptReplacer(context, history, stream, attempts, timers, sender)
-            .onReplace(silent -> quarantine.connectionLost(silent.upstream(), this::dispatch))
+            .onReplace(silent -> quarantine.connectionLost(silent, this::dispatch))
             .onGiveUp(reason -> fail(Refusal.BROKEN, reason));
   }
 
@@ -164,7 +164,7 @@
       boolean mayRun = history.mayRunAgain();
       history.recordPossibleRun();
       Runnable next = otherGoesOn ? () -> {} : () -> connectionLost(mayRun, failure);
-      quarantine.connectionLost(failedAttempt.upstream(), next);
+      quarantine.connectionLost(failedAttempt, next);
     } else if (!otherGoesOn) {
       retry(failure.name(), Refusal.UPSTREAMS_FULL, false);
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayRequest.java
@@ -43,6 +43,14 @@
     List<Integer> pieceCounts,
     Optional<String> pieceKey) {
 
+  /** Returns the ids of the shared parts of the prompt: all but the last part. */
+  public List<String> sharedPartIds() {
+    return promptParts.stream()
+        .limit(Math.max(0, promptParts.size() - 1))
+        .map(PromptPart::id)
+        .toList();
+  }
+
   /** Returns the id of the last shared part of the prompt. */
   public Optional<String> sharedPartId() {
     return promptParts.size() < 2
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestQuarantine.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestQuarantine.java
@@ -106,14 +106,15 @@
    * upstreams have crashed while serving the request before: then it continues after the check,
    * because one more crash may quarantine the request.
    */
-  void connectionLost(UpstreamRecord upstream, Runnable continuation) {
+  void connectionLost(Attempt attempt, Runnable continuation) {
+    UpstreamRecord upstream = attempt.upstream();
     boolean suspect = isShapeKnown() && quarantine.crashCount(fingerprint()) > 0;
     services
         .livenessChecker()
         .check(
             upstream,
             result -> {
-              recordLivenessCheck(upstream, result);
+              recordLivenessCheck(attempt, result);
               if (suspect) {
                 continuation.run();
               }
@@ -127,7 +128,8 @@
    * Records the result of a liveness check. Only a refused connection counts as a crash, since
    * silence may be a network partition.
    */
-  private void recordLivenessCheck(UpstreamRecord upstream, LivenessResult result) {
+  private void recordLivenessCheck(Attempt attempt, LivenessResult result) {
+    UpstreamRecord upstream = attempt.upstream();
     services
         .events()
         .problem("upstream-broke-off")
@@ -135,6 +137,8 @@
         .with("request", admitted.request().id())
         .with("upstream", upstream.incarnationId())
         .with("service", upstream.service())
+        .with("parts", String.join(",", admitted.request().sharedPartIds()))
+        .with("events", attempt.eventReads())
         .with("proof", result.name())
         .write();
     if (result == LivenessResult.REFUSED) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
@@ -23,7 +23,7 @@
   private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
   private int status;
   private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
-  private boolean eventsStarted;
+  private int eventReads;
 
   StreamAttempt(
       RelayServices services, UpstreamRecord upstream, long tokens, AttemptListener listener) {
@@ -45,7 +45,12 @@
   }
 
   boolean hasStartedEvents() {
-    return eventsStarted;
+    return eventReads > 0;
+  }
+
+  @Override
+  public int eventReads() {
+    return eventReads;
   }
 
   @Override
@@ -76,8 +81,8 @@
     }
     ByteBuf events = framer.append(content);
     if (events.isReadable()) {
-      if (!eventsStarted) {
-        eventsStarted = true;
+      eventReads++;
+      if (eventReads == 1) {
         recordStatus(status);
       }
       listener.eventsReceived(this, events);
@@ -98,7 +103,7 @@
       recordStatus(status);
       byte[] body = errorBody.toByteArray();
       listener.answered(this, status, headers, Unpooled.wrappedBuffer(body));
-    } else if (eventsStarted && framer.isAtEventBoundary()) {
+    } else if (eventReads > 0 && framer.isAtEventBoundary()) {
       listener.streamEnded(this);
     } else {
       framer.dropPartial();
