--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.connection.LivenessChecker;
 import org.gradeledge.deployment.DeploymentRegistry;
@@ -28,7 +29,6 @@
 import org.gradeledge.inspection.RunInspector;
 import org.gradeledge.limit.SendLimiter;
 import org.gradeledge.quarantine.Quarantine;
-import org.gradeledge.quarantine.QuarantineTrials;
 import org.gradeledge.quarantine.RequestFingerprint;
 import org.gradeledge.quarantine.RequestIdentity;
 import org.gradeledge.resumption.FakeOriginReplicas;
@@ -37,7 +37,6 @@
 import org.gradeledge.retry.RetryBudget;
 import org.gradeledge.selection.UpstreamLoads;
 import org.gradeledge.time.MonotonicClock;
-import reactor.core.publisher.Mono;
 
 /**
  * Relay of one box in virtual time, with the caller and the upstreams under control of the test.
@@ -83,23 +82,6 @@
   private final RelayHandler handler;
   private RelayHandler.ActiveRequest activeRequest = () -> {};
 
-  /** Trials that the test grants. */
-  static final class ControlledTrials implements QuarantineTrials {
-
-    Optional<Duration> untilNext = Optional.empty();
-    boolean granted;
-
-    @Override
-    public Optional<Duration> timeUntilNext(RequestFingerprint fingerprint) {
-      return untilNext;
-    }
-
-    @Override
-    public Mono<Boolean> claim(RequestFingerprint fingerprint) {
-      return Mono.just(granted);
-    }
-  }
-
   SimulatedRelay(RouteDefinition route, UpstreamRecord... registeredUpstreams) {
     this(clock -> SendLimiter.UNLIMITED, route, registeredUpstreams);
   }
@@ -161,18 +143,34 @@
     send(id, List.of(), "another body".getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Sends a request with its own body whose prompt has the given parts. */
+  void sendPrompt(String id, String... parts) {
+    sendPrompt(id, List.of(), parts);
+  }
+
+  /** Sends a request with stage work and its own body whose prompt has the given parts. */
+  void sendPrompt(String id, List<Integer> pieces, String... parts) {
+    handle(
+        id,
+        pieces,
+        id.getBytes(StandardCharsets.UTF_8),
+        Optional.empty(),
+        Optional.empty(),
+        Stream.of(parts).map(part -> new PromptPart(part, 100)).toList());
+  }
+
   private void send(String id, List<Integer> pieces, byte[] body) {
-    handle(id, pieces, body, Optional.empty(), Optional.empty());
+    handle(id, pieces, body, Optional.empty(), Optional.empty(), List.of());
   }
 
   /** Sends a request that resumes the stream that another request began. */
   void resume(String id, String firstRequestId, Integer... pieces) {
-    handle(id, List.of(pieces), BODY, Optional.of("1"), Optional.of(firstRequestId));
+    handle(id, List.of(pieces), BODY, Optional.of("1"), Optional.of(firstRequestId), List.of());
   }
 
   /** Sends a request that resumes a stream without naming the request that began it. */
   void resumeUnnamed(String id) {
-    handle(id, List.of(), BODY, Optional.of("1"), Optional.empty());
+    handle(id, List.of(), BODY, Optional.of("1"), Optional.empty(), List.of());
   }
 
   private void handle(
@@ -180,7 +178,8 @@
       List<Integer> pieces,
       byte[] body,
       Optional<String> lastEventId,
-      Optional<String> resumedRequestId) {
+      Optional<String> resumedRequestId,
+      List<PromptPart> promptParts) {
     activeRequest =
         handler.handle(
             new RelayRequest(
@@ -195,7 +194,7 @@
                 Optional.of("known-key"),
                 lastEventId,
                 resumedRequestId,
-                List.of(),
+                promptParts,
                 0,
                 pieces,
                 Optional.of("piece-key")),
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -37,7 +37,7 @@
   private final EngineSilence silence = new EngineSilence();
   private volatile long startedAtMillis = System.currentTimeMillis();
   private volatile EngineFault fault = EngineFault.NONE;
-  private volatile Optional<String> crashBody = Optional.empty();
+  private final EngineCrashTriggers crashTriggers = new EngineCrashTriggers();
   private volatile boolean down;
 
   /** Starts an engine of the default software version on a free port. */
@@ -92,9 +92,9 @@
     fault = newFault;
   }
 
-  /** Makes the engine crash, without a restart, when it runs a request with the given body. */
-  public void crashOn(String body) {
-    crashBody = Optional.of(body);
+  /** Returns the requests that crash the engine, which does not restart by itself. */
+  public EngineCrashTriggers crashTriggers() {
+    return crashTriggers;
   }
 
   /** Returns whether the engine has crashed and has not been restarted. */
@@ -245,7 +245,11 @@
       return caller.send(RawHttpResponse.withBody(request, 200, "", "{}"));
     }
     executedRequests.add(request);
-    if (crashBody.filter(request.body()::equals).isPresent()) {
+    if (crashTriggers.matchesBody(request)) {
+      return crash();
+    }
+    if (crashTriggers.matchesPart(request)) {
+      caller.send(RawHttpResponse.eventStreamHead(request, FleetEngineResponses.CHUNKED));
       return crash();
     }
     return responses.send(fault, request, caller);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetCrashingRequestTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetCrashingRequestTests.java
@@ -30,7 +30,7 @@
   void start() throws Exception {
     for (int number = 0; number < UPSTREAMS; number++) {
       FleetEngine upstream = fleet.addEngine("model", EngineKind.STREAM);
-      upstream.crashOn(CRASHING_BODY);
+      upstream.crashTriggers().setBody(CRASHING_BODY);
       upstreams.add(upstream);
     }
     startBoxes();
@@ -80,7 +80,7 @@
     for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
       send(attempt % BOXES, CRASHING_BODY);
     }
-    upstreams.forEach(upstream -> upstream.crashOn("nothing"));
+    upstreams.forEach(upstream -> upstream.crashTriggers().setBody("nothing"));
 
     HttpResponse<String> response = fleet.postBody(0, "/resume/y", CRASHING_BODY, AUTHORIZATION);
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetStoreRestoreTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetStoreRestoreTests.java
@@ -101,7 +101,7 @@
     startBoxes();
     awaitVerdict();
     StoreStandIn.Snapshot snapshot = fleet.store().snapshot();
-    upstreams.forEach(upstream -> upstream.crashOn("nothing"));
+    upstreams.forEach(upstream -> upstream.crashTriggers().setBody("nothing"));
     fleet.store().keys("quarantine").forEach(key -> fleet.store().remove("quarantine", key));
     for (int box = 0; box < BOXES; box++) {
       int boxIndex = box;
@@ -120,7 +120,7 @@
     List<FleetEngine> upstreams = new ArrayList<>();
     for (int number = 0; number < 12; number++) {
       FleetEngine upstream = fleet.addEngine("model", EngineKind.STREAM);
-      upstream.crashOn(CRASHING_BODY);
+      upstream.crashTriggers().setBody(CRASHING_BODY);
       upstreams.add(upstream);
     }
     return upstreams;
