Close connections whose upstream sends beyond a bound

What callers would see: nothing but a failed attempt, while the box goes on reading and discarding what the upstream sends until it ends, for each such attempt; an error answer to a streaming request without end fills the memory of the box, an answer to another call or 1xx responses keep a call until its time is over.

Cause: a listener that accepts no more of a body had no way to say so to the connection: it failed its own call, which then counted as ended and was never cancelled.

ResponseTooLargeException fails the call as GARBLED and closes its connection in the one place where content is handed on. EventFramer copies and searches each byte once: an event in many small reads cost the square of its size.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -158,9 +158,7 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    if (!body.add(content)) {
-      onFailure(CallFailure.GARBLED);
-    }
+    body.add(content);
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultReleaser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultReleaser.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
+import org.gradeledge.connection.ResponseBuffer;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.discovery.UpstreamRegistry;
@@ -27,6 +28,7 @@
 
   private static final long COLLECTION_MILLIS = 8;
   private static final long DEFERRAL_MILLIS = 100;
+  private static final int MAX_ANSWER_BYTES = 64 * 1024;
 
   /** Longer than the retention period of results at upstreams. */
   private static final double MAX_DEFERRAL_MILLIS = 30_000;
@@ -123,6 +125,7 @@
   private final class ReleaseListener implements CallListener {
 
     private final List<String> handles;
+    private final ResponseBuffer body = new ResponseBuffer(MAX_ANSWER_BYTES);
 
     ReleaseListener(List<String> handles) {
       this.handles = handles;
@@ -132,7 +135,9 @@
     public void onHead(int status, HttpHeaders headers) {}
 
     @Override
-    public void onContent(ByteBuf content) {}
+    public void onContent(ByteBuf content) {
+      body.add(content);
+    }
 
     @Override
     public void onComplete() {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallInProgress.java
@@ -39,7 +39,7 @@
     }
   }
 
-  /** Fails a call that was not sent and closes the connection that is being established for it. */
+  /** Fails the call and closes its connection, which may still be being established. */
   void abandon(CallFailure failure) {
     fail(failure);
     onCancel.run();
@@ -58,8 +58,13 @@
   }
 
   void notifyContent(ByteBuf content) {
-    if (!finished) {
+    if (finished) {
+      return;
+    }
+    try {
       listener.onContent(content);
+    } catch (ResponseTooLargeException e) {
+      abandon(CallFailure.GARBLED);
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallListener.java
@@ -18,7 +18,11 @@
   /** Called when the response head is received. */
   void onHead(int status, HttpHeaders headers);
 
-  /** Called for each part of the response body; the buffer is released after the call. */
+  /**
+   * Called for each part of the response body; the buffer is released after the call.
+   *
+   * @throws ResponseTooLargeException if the listener accepts no more; the call then fails
+   */
   void onContent(ByteBuf content);
 
   /** Called when the response is complete. */
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseBuffer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseBuffer.java
@@ -23,17 +23,17 @@
   }
 
   /**
-   * Appends bytes unless the body would exceed the maximum size; returns whether they were
-   * appended.
+   * Appends bytes.
+   *
+   * @throws ResponseTooLargeException if the body would exceed the maximum size
    */
-  public boolean add(ByteBuf content) {
+  public void add(ByteBuf content) {
     if (buffer.size() + content.readableBytes() > maxBytes) {
-      return false;
+      throw new ResponseTooLargeException("body", maxBytes);
     }
     byte[] bytes = new byte[content.readableBytes()];
     content.readBytes(bytes);
     buffer.writeBytes(bytes);
-    return true;
   }
 
   /** Returns the buffered bytes. */
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -34,6 +34,8 @@
   private static final long DEFAULT_KEEP_ALIVE_MILLIS = 3_000;
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
   private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_INFORMATIONAL_HEADS = 16;
+  private static final long MAX_SKIPPED_BYTES = 16 * 1024 * 1024;
 
   private final UpstreamConnectionPool pool;
   private final Consumer<ResponseHead> onHead;
@@ -41,6 +43,8 @@
   private @Nullable CallInProgress call;
   private @Nullable ChannelFuture writeFuture;
   private boolean skippingResponse;
+  private int informationalHeads;
+  private long skippedBytes;
   private boolean headReceived;
   private boolean reusable = true;
   private boolean connectionReset;
@@ -81,6 +85,8 @@
     }
     call = newCall;
     headReceived = false;
+    informationalHeads = 0;
+    skippedBytes = 0;
     reusable &= newCall.request().reuse() != ConnectionReuse.NONE;
     newCall.onCancel(this::close);
     sentAtNanos = clock.nanos();
@@ -139,6 +145,10 @@
   private void handleHead(CallInProgress current, HttpResponse response) {
     if (response.status().code() < MIN_FINAL_STATUS) {
       skippingResponse = true;
+      informationalHeads++;
+      if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
+        fail(CallFailure.GARBLED);
+      }
       return;
     }
     headReceived = true;
@@ -158,6 +168,10 @@
     if (skippingResponse) {
       skippingResponse = !last;
       headReceived = !last;
+      skippedBytes += content.content().readableBytes();
+      if (skippedBytes > MAX_SKIPPED_BYTES) {
+        fail(CallFailure.GARBLED);
+      }
       return;
     }
     if (connectionReset && last) {
--- a/gradeledge-core/src/main/java/org/gradeledge/inspection/RunInspector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/inspection/RunInspector.java
@@ -117,9 +117,7 @@
 
     @Override
     public void onContent(ByteBuf content) {
-      if (!body.add(content)) {
-        fail("the report is too large");
-      }
+      body.add(content);
     }
 
     @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/EventFramer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/EventFramer.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.gradeledge.connection.ResponseTooLargeException;
 
 /**
  * Splits a stream of server-sent events into complete events, so that an event that the upstream
@@ -15,23 +16,26 @@
   private static final int MAX_PENDING_BYTES = 1024 * 1024;
   private static final String ID_FIELD = "id:";
 
-  private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+  private final ByteBuf pending = Unpooled.buffer(0);
+
+  /** Number of pending bytes that contain no end of an event. */
+  private int searchedBytes;
+
   private Optional<String> lastId = Optional.empty();
 
   /**
    * Adds received bytes and returns all events that they complete; the buffer may be empty.
    *
-   * @throws IllegalStateException if one event exceeds the size limit
+   * @throws ResponseTooLargeException if one event exceeds the size limit
    */
   ByteBuf append(ByteBuf bytes) {
-    ByteBuf buffered = pending.isReadable() ? Unpooled.copiedBuffer(pending, bytes) : bytes.copy();
-    int wholeLength = lengthOfWholeEvents(buffered);
-    ByteBuf wholeEvents = buffered.readRetainedSlice(wholeLength);
-    pending = buffered.isReadable() ? Unpooled.copiedBuffer(buffered) : Unpooled.EMPTY_BUFFER;
-    buffered.release();
-    if (pending.readableBytes() > MAX_PENDING_BYTES) {
-      throw new IllegalStateException(
-          "event exceeds the size limit, bytes pending: " + pending.readableBytes());
+    pending.writeBytes(bytes);
+    ByteBuf wholeEvents = pending.readBytes(lengthOfWholeEvents());
+    pending.discardReadBytes();
+    searchedBytes = pending.readableBytes();
+    if (searchedBytes > MAX_PENDING_BYTES) {
+      wholeEvents.release();
+      throw new ResponseTooLargeException("event", MAX_PENDING_BYTES);
     }
     recordLastId(wholeEvents);
     return wholeEvents;
@@ -49,22 +53,23 @@
 
   /** Discards a partial event. */
   void dropPartial() {
-    pending = Unpooled.EMPTY_BUFFER;
+    pending.clear();
+    searchedBytes = 0;
   }
 
-  private static int lengthOfWholeEvents(ByteBuf bytes) {
-    int from = bytes.readerIndex();
-    for (int i = bytes.writerIndex() - 1; i > from; i--) {
-      if (bytes.getByte(i) == '\n' && isBlankLineEnd(bytes, i, from)) {
-        return i + 1 - from;
+  /** Searches from the end, but not again what was searched before. */
+  private int lengthOfWholeEvents() {
+    for (int i = pending.writerIndex() - 1; i >= Math.max(1, searchedBytes); i--) {
+      if (pending.getByte(i) == '\n' && isBlankLineEnd(i)) {
+        return i + 1;
       }
     }
     return 0;
   }
 
-  private static boolean isBlankLineEnd(ByteBuf bytes, int newline, int from) {
-    int before = bytes.getByte(newline - 1) == '\r' ? newline - 2 : newline - 1;
-    return before >= from && bytes.getByte(before) == '\n';
+  private boolean isBlankLineEnd(int newline) {
+    int before = pending.getByte(newline - 1) == '\r' ? newline - 2 : newline - 1;
+    return before >= 0 && pending.getByte(before) == '\n';
   }
 
   private void recordLastId(ByteBuf events) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
@@ -4,9 +4,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import org.gradeledge.connection.CallFailure;
+import org.gradeledge.connection.ResponseBuffer;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /**
@@ -17,10 +17,11 @@
 
   private static final int FIRST_SUCCESS = 200;
   private static final int FIRST_REDIRECT = 300;
+  private static final int MAX_ERROR_BODY_BYTES = 1024 * 1024;
 
   private final AttemptListener listener;
   private final EventFramer framer = new EventFramer();
-  private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
+  private final ResponseBuffer errorBody = new ResponseBuffer(MAX_ERROR_BODY_BYTES);
   private int status;
   private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
   private int eventReads;
@@ -74,9 +75,7 @@
   public void onContent(ByteBuf content) {
     recordActivity();
     if (!isStream()) {
-      byte[] bytes = new byte[content.readableBytes()];
-      content.readBytes(bytes);
-      errorBody.writeBytes(bytes);
+      errorBody.add(content);
       return;
     }
     ByteBuf events = framer.append(content);
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/WholeAnswerAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/WholeAnswerAttempt.java
@@ -36,9 +36,7 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    if (!body.add(content)) {
-      onFailure(CallFailure.GARBLED);
-    }
+    body.add(content);
   }
 
   @Override
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/EventFramerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/EventFramerTests.java
@@ -1,6 +1,7 @@
 package org.gradeledge.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -10,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.gradeledge.connection.ResponseTooLargeException;
 import org.junit.jupiter.api.Test;
 
 class EventFramerTests {
@@ -41,6 +43,20 @@
     assertThat(append("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
   }
 
+  // Guards against an event without end, also one that arrives in many small reads.
+  @Test
+  void rejectsEventWithoutEnd() {
+    String part = "data: x\n".repeat(8);
+
+    assertThatThrownBy(
+            () -> {
+              while (true) {
+                append(part);
+              }
+            })
+        .isInstanceOf(ResponseTooLargeException.class);
+  }
+
   @Property(tries = 300)
   void returnsSameEventsForAnyFragmentation(
       @ForAll @Size(min = 1, max = 20) List<@IntRange(min = 1, max = 9) Integer> cuts) {
