--- a/gradeledge-core/src/test/java/org/gradeledge/batch/PriorityShareTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/PriorityShareTests.java
@@ -19,6 +19,7 @@
 import org.gradeledge.retry.RetryBudget;
 import org.gradeledge.selection.UpstreamLoads;
 import org.gradeledge.time.MonotonicClock;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,6 +81,17 @@
     assertThat(share(0)).isGreaterThanOrEqualTo(share(LEAST_URGENT));
   }
 
+  // Guards against a less urgent kind that is refused as long as urgent ones ask for everything.
+  @ParameterizedTest
+  @CsvSource({"1.0, 0.3", "1.5, 0.3"})
+  @Tag("known-red")
+  void leastUrgentKindIsServedBesideUrgentOnesThatAskForAll(
+      double urgentLoad, double leastUrgentLoad) throws Exception {
+    run(20_000, urgentLoad * CAPACITY_PER_SECOND, leastUrgentLoad * CAPACITY_PER_SECOND);
+
+    assertThat(share(LEAST_URGENT)).isGreaterThanOrEqualTo(LEAST_SHARE);
+  }
+
   private double share(int priority) {
     return (double) servedInTime.getOrDefault(priority, 0) / arrived.get(priority);
   }
