--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ArrivalRates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ArrivalRates.java
@@ -25,7 +25,7 @@
 
   void recordArrivals(int priority, int pieces) {
     decay();
-    decayedCounts[Math.max(0, Math.min(priority, decayedCounts.length - 1))] += pieces;
+    decayedCounts[PendingPieces.level(priority)] += pieces;
   }
 
   /** Returns the number of pieces per second that are more urgent than the given priority. */
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PendingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PendingPieces.java
@@ -79,7 +79,8 @@
     return IntStream.range(0, levels).mapToLong(counts::get).sum();
   }
 
-  private static int level(int priority) {
+  /** Returns the level that a priority counts as. */
+  static int level(int priority) {
     return Math.max(0, Math.min(priority, PRIORITY_LEVELS - 1));
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PriorityUsage.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PriorityUsage.java
@@ -105,6 +105,6 @@
   }
 
   private static int level(GroupInProgress group) {
-    return Math.max(0, Math.min(group.group().priority(), Urgency.LEVELS - 1));
+    return PendingPieces.level(group.group().priority());
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -63,7 +63,7 @@
   long[] countByPriority() {
     long[] counts = new long[Urgency.LEVELS];
     for (StagePiece piece : pieces) {
-      counts[Math.max(0, Math.min(piece.group().group().priority(), counts.length - 1))]++;
+      counts[PendingPieces.level(piece.group().group().priority())]++;
     }
     return counts;
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/quarantine/SuspectIdentity.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/quarantine/SuspectIdentity.java
@@ -14,8 +14,9 @@
   RequestFingerprint fingerprint();
 
   /**
-   * Returns how many requests the suspect stands for: 0 for a single request, for a part of a
-   * prompt its distance from the end of the prompt, as earlier parts are shared by more requests.
+   * Returns the rank by the number of requests that share the suspect: 0 for a single request; for
+   * a part of a prompt its distance from the end of the prompt, as more requests share earlier
+   * parts.
    */
   int breadth();
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/quarantine/PromptPartSimulation.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/quarantine/PromptPartSimulation.java
@@ -1,11 +1,8 @@
 package org.gradeledge.quarantine;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Simulates, in virtual time, boxes that serve different requests whose prompts share parts: an
@@ -49,8 +46,6 @@
 
   private static final long REACTION_MILLIS = 3_000;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   private static final class Upstream {
 
     private int incarnation;
@@ -62,12 +57,8 @@
 
   private final Plan plan;
   private final Random random;
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparing(Event::atMillis).thenComparing(Event::order));
-  private final List<Quarantine> boxes = new ArrayList<>();
+  private final SimulatedBoxes boxes;
   private final List<Upstream> upstreams = new ArrayList<>();
-  private long nowMillis;
-  private long order;
   private long bodies;
   private int crashes;
   private long reactedMillis = Long.MAX_VALUE;
@@ -78,6 +69,7 @@
   PromptPartSimulation(Plan plan, long seed) {
     this.plan = plan;
     this.random = new Random(seed);
+    this.boxes = new SimulatedBoxes(plan.boxCount(), plan.maxPropagationMillis(), random);
   }
 
   /** A request with a body of its own that a caller sends to up to {@code MAX_ARRIVALS} boxes. */
@@ -111,9 +103,10 @@
       if (arrivals++ == MAX_ARRIVALS) {
         return;
       }
-      box = boxes.get(random.nextInt(boxes.size()));
+      box = boxes.randomQuarantine();
       attempts = 0;
-      boolean counted = arrivals == 1 && !crashing && nowMillis > reactedMillis + REACTION_MILLIS;
+      boolean counted =
+          arrivals == 1 && !crashing && boxes.nowMillis() > reactedMillis + REACTION_MILLIS;
       lateHarmless += counted ? 1 : 0;
       lateHarmlessRefused += counted && isQuarantined() ? 1 : 0;
       send();
@@ -127,16 +120,16 @@
     private void send() {
       List<Upstream> available = upstreams.stream().filter(each -> !each.down).toList();
       if (available.isEmpty() || attempts == MAX_ATTEMPTS || isQuarantined()) {
-        schedule(CALLER_RETRY_MILLIS, this::arrive);
+        boxes.schedule(CALLER_RETRY_MILLIS, this::arrive);
         return;
       }
       attempts++;
-      lateCrashingSends += crashing && nowMillis > reactedMillis ? 1 : 0;
+      lateCrashingSends += crashing && boxes.nowMillis() > reactedMillis ? 1 : 0;
       Upstream upstream = available.get(random.nextInt(available.size()));
       Attempt attempt = new Attempt(this, new boolean[1]);
       upstream.running.add(attempt);
       long firstEventMillis = 20 + (long) (random.nextDouble() * MAX_FIRST_EVENT_MILLIS);
-      schedule(firstEventMillis, () -> begin(upstream, attempt));
+      boxes.schedule(firstEventMillis, () -> begin(upstream, attempt));
     }
 
     private void begin(Upstream upstream, Attempt attempt) {
@@ -149,15 +142,15 @@
       }
       attempt.begun()[0] = true;
       parts.forEach(part -> box.recordSuccess(part.fingerprint()));
-      broadcast(box);
+      boxes.broadcast(box);
       long streamMillis = (long) (random.nextDouble() * MAX_STREAM_MILLIS);
-      schedule(streamMillis, () -> complete(upstream, attempt));
+      boxes.schedule(streamMillis, () -> complete(upstream, attempt));
     }
 
     private void complete(Upstream upstream, Attempt attempt) {
       if (upstream.running.remove(attempt)) {
         box.recordSuccess(fingerprint);
-        broadcast(box);
+        boxes.broadcast(box);
       }
     }
 
@@ -166,41 +159,34 @@
       if (!begun) {
         parts.forEach(part -> box.recordCrash(part.fingerprint(), part.breadth(), incarnationId));
       }
-      broadcast(box);
+      boxes.broadcast(box);
       send();
     }
   }
 
   /** Simulates half a minute. */
   PromptPartSimulation run() {
-    for (int box = 0; box < plan.boxCount(); box++) {
-      boxes.add(new Quarantine(() -> TimeUnit.MILLISECONDS.toNanos(nowMillis)));
-    }
     for (int upstream = 0; upstream < plan.upstreamCount(); upstream++) {
       upstreams.add(new Upstream());
     }
     long requests = plan.requestsPerSecond() * DURATION_MILLIS / 1_000;
     for (long number = 0; number < requests; number++) {
       boolean crashing = random.nextDouble() < plan.crashingShare();
-      schedule(random.nextInt((int) DURATION_MILLIS), () -> new Request(crashing).arrive());
+      boxes.schedule(random.nextInt((int) DURATION_MILLIS), () -> new Request(crashing).arrive());
     }
     for (int crash = 0; crash < plan.crashesPerSecond() * DURATION_MILLIS / 1_000; crash++) {
-      schedule(
+      boxes.schedule(
           random.nextInt((int) DURATION_MILLIS),
           () -> fail(upstreams.get(random.nextInt(upstreams.size()))));
     }
-    while (!events.isEmpty()) {
-      Event next = events.poll();
-      nowMillis = next.atMillis();
-      next.action().run();
-    }
+    boxes.run();
     return this;
   }
 
   private void crash(Upstream upstream) {
     crashes++;
     if (crashes == COUNTED_CRASH) {
-      reactedMillis = nowMillis + REACTION_MILLIS;
+      reactedMillis = boxes.nowMillis() + REACTION_MILLIS;
     }
     fail(upstream);
   }
@@ -215,26 +201,9 @@
     upstream.running.clear();
     interrupted.forEach(
         attempt ->
-            schedule(
+            boxes.schedule(
                 DETECTION_MILLIS, () -> attempt.request().lost(attempt.begun()[0], incarnationId)));
-    schedule(DOWN_MILLIS, () -> upstream.down = false);
-  }
-
-  private void broadcast(Quarantine sender) {
-    SuspectUpdate update = sender.takeUpdate();
-    if (!update.isEmpty()) {
-      boxes.stream()
-          .filter(box -> box != sender)
-          .forEach(
-              box ->
-                  schedule(
-                      1 + random.nextInt((int) plan.maxPropagationMillis()),
-                      () -> box.merge(update)));
-    }
-  }
-
-  private void schedule(long millis, Runnable action) {
-    events.add(new Event(nowMillis + millis, order++, action));
+    boxes.schedule(DOWN_MILLIS, () -> upstream.down = false);
   }
 
   /** Returns the number of crashes that the crashing part caused. */
--- a/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineSimulation.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/quarantine/QuarantineSimulation.java
@@ -1,11 +1,8 @@
 package org.gradeledge.quarantine;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Simulates, in virtual time, boxes that exchange updates with a delay, upstreams that crash and
@@ -31,16 +28,10 @@
   private static final long HARMLESS = 7;
   private static final long CRASHING = 9;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   private final Plan plan;
   private final Random random;
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparing(Event::atMillis).thenComparing(Event::order));
-  private final List<Quarantine> boxes = new ArrayList<>();
+  private final SimulatedBoxes boxes;
   private final List<Upstream> upstreams = new ArrayList<>();
-  private long nowMillis;
-  private long order;
   private int crashesByRequests;
   private int harmlessSent;
   private int harmlessQuarantined;
@@ -84,7 +75,7 @@
       long spreadMillis = crashesUpstream ? CRASH_SPREAD_MILLIS : MAX_RUN_MILLIS - MIN_RUN_MILLIS;
       long runMillis =
           (crashesUpstream ? 10 : MIN_RUN_MILLIS) + (long) (random.nextDouble() * spreadMillis);
-      schedule(runMillis, () -> finish(upstream, incarnation));
+      boxes.schedule(runMillis, () -> finish(upstream, incarnation));
     }
 
     private void finish(Upstream upstream, int incarnation) {
@@ -98,32 +89,30 @@
         answered = true;
         upstream.running.remove(this);
         box.recordSuccess(fingerprint);
-        broadcast(box);
+        boxes.broadcast(box);
       }
     }
 
     /** Records the crash after a short detection time and sends the request again. */
     private void onCrash(String incarnationId) {
-      schedule(
+      boxes.schedule(
           2,
           () -> {
             box.recordCrash(fingerprint, incarnationId);
-            broadcast(box);
+            boxes.broadcast(box);
           });
-      schedule(3, this::send);
+      boxes.schedule(3, this::send);
     }
   }
 
   QuarantineSimulation(Plan plan, long seed) {
     this.plan = plan;
     this.random = new Random(seed);
+    this.boxes = new SimulatedBoxes(plan.boxCount(), plan.maxPropagationMillis(), random);
   }
 
   /** Simulates one minute. */
   QuarantineSimulation run() {
-    for (int box = 0; box < plan.boxCount(); box++) {
-      boxes.add(new Quarantine(() -> TimeUnit.MILLISECONDS.toNanos(nowMillis)));
-    }
     for (int upstream = 0; upstream < plan.upstreamCount(); upstream++) {
       upstreams.add(new Upstream());
     }
@@ -137,21 +126,17 @@
       }
     }
     for (int crash = 0; crash < plan.crashesPerSecond() * DURATION_MILLIS / 1_000; crash++) {
-      schedule(
+      boxes.schedule(
           random.nextInt((int) DURATION_MILLIS),
           () -> crash(upstreams.get(random.nextInt(upstreams.size()))));
     }
-    while (!events.isEmpty()) {
-      Event next = events.poll();
-      nowMillis = next.atMillis();
-      next.action().run();
-    }
+    boxes.run();
     return this;
   }
 
   private void scheduleArrival(RequestFingerprint fingerprint, boolean crashesUpstream) {
-    Quarantine box = boxes.get(random.nextInt(boxes.size()));
-    schedule(
+    Quarantine box = boxes.randomQuarantine();
+    boxes.schedule(
         random.nextInt((int) DURATION_MILLIS),
         () -> new SimulatedRequest(fingerprint, crashesUpstream, box).send());
   }
@@ -166,24 +151,7 @@
     List<SimulatedRequest> interrupted = List.copyOf(upstream.running);
     upstream.running.clear();
     interrupted.forEach(request -> request.onCrash(incarnationId));
-    schedule(DOWN_MILLIS, () -> upstream.down = false);
-  }
-
-  private void broadcast(Quarantine sender) {
-    SuspectUpdate update = sender.takeUpdate();
-    if (!update.isEmpty()) {
-      boxes.stream()
-          .filter(box -> box != sender)
-          .forEach(
-              box ->
-                  schedule(
-                      1 + random.nextInt((int) plan.maxPropagationMillis()),
-                      () -> box.merge(update)));
-    }
-  }
-
-  private void schedule(long millis, Runnable action) {
-    events.add(new Event(nowMillis + millis, order++, action));
+    boxes.schedule(DOWN_MILLIS, () -> upstream.down = false);
   }
 
   int crashesByRequests() {
@@ -200,7 +168,7 @@
 
   /** Returns the number of harmless requests that any box still quarantines. */
   long harmlessQuarantinedAtEnd() {
-    return boxes.stream()
+    return boxes.quarantines().stream()
         .flatMap(box -> box.quarantined().stream())
         .filter(request -> request.high() == HARMLESS)
         .distinct()
