--- a/gradeledge-core/src/test/java/org/gradeledge/limit/RateLimitSimulationTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/limit/RateLimitSimulationTests.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import org.gradeledge.limit.RateLimitSimulation.Plan;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,6 +44,19 @@
       @ForAll long seed,
       @ForAll @IntRange(min = 2, max = 61) int boxes,
       @ForAll @DoubleRange(min = 0.05, max = 30) double limit) {
+    assertThat(maxRequestsInWindowWithFaults(boxes, limit, seed))
+        .isLessThanOrEqualTo(maxAllowed(limit));
+  }
+
+  // Guards against one request too many where many boxes share a limit below one a second.
+  @Test
+  @Tag("known-red")
+  void staysWithinSmallBoundWhileManyBoxesRestartFreezeAndJoin() {
+    assertThat(maxRequestsInWindowWithFaults(58, 0.64, 161275))
+        .isLessThanOrEqualTo(maxAllowed(0.64));
+  }
+
+  private static long maxRequestsInWindowWithFaults(int boxes, double limit, long seed) {
     RateLimitSimulation simulation = underLoad(boxes, limit, seed);
     Random random = new Random(seed);
 
@@ -56,9 +70,7 @@
         default -> {}
       }
     }
-
-    assertThat(simulation.maxRequestsInWindow(BOUND_APPLIES_FROM_MILLIS))
-        .isLessThanOrEqualTo(maxAllowed(limit));
+    return simulation.maxRequestsInWindow(BOUND_APPLIES_FROM_MILLIS);
   }
 
   @Property(tries = 20, shrinking = ShrinkingMode.OFF)
