Observability of SHORT: why upstreams and places in calls are unused

stage-usage tells for each second the time of upstreams without a call while pieces waited, and the places that calls left free, each by cause. Without it nothing tells lack of result memory from waiting for a zone or from a group that does not fit.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -8,8 +8,6 @@
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CancellableCall;
 import org.gradeledge.deployment.BatchLimits;
-import org.gradeledge.discovery.UpstreamRecord;
-import org.gradeledge.quarantine.Quarantine;
 
 /**
  * The waiting pieces of one service and the calls that process them.
@@ -33,7 +31,7 @@
   private final WaitingPieces waiting = new WaitingPieces();
   private final ResultMemory resultMemory;
   private final BatchUpstreams upstreams;
-  private final PieceRetries retries;
+  private final BatchResultHandler resultHandler;
   private final CallTimeouts timeouts;
   private final QueueForecast forecast;
   private final PriorityUsage usage;
@@ -46,7 +44,9 @@
     this.loop = loop;
     this.resultMemory = new ResultMemory(context.clock(), context.loads());
     this.upstreams = new BatchUpstreams(service, context, resultMemory);
-    this.retries = new PieceRetries(service, context);
+    PieceRetries retries = new PieceRetries(service, context);
+    this.resultHandler =
+        new BatchResultHandler(context, waiting, resultMemory, retries, this::endGroup);
     this.timeouts = new CallTimeouts(service, context, retries, loop);
     this.recheck = new DelayedRecheck(loop, this::dispatch);
     this.crashCheck = new CrashCheck(context.livenessChecker(), loop);
@@ -96,6 +96,7 @@
   void dispatch() {
     Optional<BatchLimits> limits = context.limits(service);
     if (waiting.isEmpty() || limits.isEmpty()) {
+      usage.recordIdle(List.of());
       return;
     }
     long now = context.clock().nanos();
@@ -109,6 +110,11 @@
     if (!waiting.isEmpty()) {
       recheck.schedule();
     }
+    recordIdleUpstreams(limits.get(), now);
+  }
+
+  private void recordIdleUpstreams(BatchLimits limits, long now) {
+    usage.recordIdle(waiting.isEmpty() ? List.of() : upstreams.idleCauses(waiting, limits, now));
   }
 
   private void expire(GroupInProgress group) {
@@ -134,6 +140,7 @@
     batch.forEach(piece -> piece.group().recordCall(target.upstream().zone(), now));
     BatchCall call = new BatchCall(target, batch, limits, now, this);
     double expected = target.expectedMillis(limits, batch.size());
+    recordUnfilledPlaces(call, now);
     target.callStarted(call.resultBytes(), expected, now);
     context.loads().recordStart(target.upstream(), call.resultBytes());
     context.sendLimiter().recordSent(target.upstream());
@@ -152,6 +159,16 @@
     return true;
   }
 
+  private void recordUnfilledPlaces(BatchCall call, long now) {
+    BatchLimits limits = call.limits();
+    int places = limits.maxItemsPerCall() - call.pieces().size();
+    if (places > 0 && !waiting.isEmpty()) {
+      long freeBytes = upstreams.freeBytes(call.target(), limits) - call.resultBytes();
+      usage.recordUnfilled(
+          upstreams.unfilledCause(call.target(), freeBytes, waiting, limits, now), places);
+    }
+  }
+
   @Override
   public void onCallSent(BatchCall call) {
     double fixedMillis = call.target().expectedMillis(call.limits(), 0);
@@ -215,62 +232,16 @@
 
   private void handleResults(BatchCall call, List<PieceResult> results) {
     double millis = (context.clock().nanos() - call.startNanos()) / 1e6;
-    BatchLimits limits = call.limits();
     if (results.stream().allMatch(result -> result.kind() == PieceResult.Kind.MADE)) {
       call.recordSpeed(millis);
     }
     context.loads().recordSuccess(call.target().upstream(), millis);
     usage.recordCall(call, millis);
-    for (int i = 0; i < results.size(); i++) {
-      handleResult(call, call.pieces().get(i), results.get(i), limits);
-    }
-  }
-
-  private void handleResult(
-      BatchCall call, StagePiece piece, PieceResult result, BatchLimits limits) {
-    UpstreamRecord upstream = call.target().upstream();
-    switch (result.kind()) {
-      case MADE -> completePiece(piece, result.handle().orElseThrow(), upstream, limits);
-      case LATE -> endGroup(piece.group(), StageOutcome.LATE);
-      case GONE -> endGroup(piece.group(), StageOutcome.GONE);
-      case NO_ROOM -> {
-        resultMemory.markFull(upstream.incarnationId());
-        retry(List.of(piece), true, "no room", upstream);
-      }
-      case ERROR -> retry(List.of(piece), true, "error", upstream);
-      default -> throw new IllegalStateException("Unsupported result kind: " + result.kind());
-    }
-  }
-
-  private void completePiece(
-      StagePiece piece, String handle, UpstreamRecord upstream, BatchLimits limits) {
-    GroupInProgress group = piece.group();
-    if (group.hasEnded()) {
-      context.release(List.of(handle));
-      return;
-    }
-    resultMemory.add(
-        handle, upstream.incarnationId(), group.group().resultBytes(), limits.retentionMillis());
-    group.pieceCompleted(piece.index(), handle);
+    resultHandler.handle(call, results);
   }
 
   private void retry(BatchCall call, boolean sent, String reason) {
-    retry(call.pieces(), sent, reason, call.target().upstream());
-  }
-
-  private void retry(
-      List<StagePiece> pieces, boolean sent, String reason, UpstreamRecord upstream) {
-    pieces.stream()
-        .map(StagePiece::group)
-        .filter(group -> group.crashCount() >= Quarantine.CRASHES_TO_QUARANTINE)
-        .forEach(group -> endGroup(group, StageOutcome.FAILED));
-    List<StagePiece> unfinished =
-        pieces.stream().filter(piece -> !piece.group().hasEnded()).toList();
-    if (retries.tryAcquire(unfinished, sent, reason, upstream)) {
-      waiting.addAll(unfinished);
-    } else {
-      unfinished.forEach(piece -> endGroup(piece.group(), StageOutcome.FAILED));
-    }
+    resultHandler.retry(call.pieces(), sent, reason, call.target().upstream());
   }
 
   private void endGroup(GroupInProgress group, StageOutcome outcome) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.gradeledge.deployment.BatchLimits;
 
 /** Selects the upstreams of one service to call next. Confined to the event loop. */
@@ -43,13 +44,8 @@
    * are slower than waiting for another upstream.
    */
   List<BatchUpstream> candidates(BatchLimits limits, int items, long now) {
-    List<BatchUpstream> upstreams =
-        usable().stream().filter(each -> freeBytes(each, limits) > 0).toList();
-    double earliestMillis =
-        upstreams.stream()
-            .mapToDouble(each -> millisUntilCompletion(each, limits, items, now))
-            .min()
-            .orElse(0);
+    List<BatchUpstream> upstreams = withMemory(usable(), limits);
+    double earliestMillis = earliestCompletionMillis(upstreams, limits, items, now);
     Comparator<BatchUpstream> fastest =
         Comparator.comparingDouble(each -> each.expectedMillis(limits, items));
     return upstreams.stream()
@@ -59,6 +55,67 @@
         .toList();
   }
 
+  /** Returns why each upstream without a call is idle although pieces wait. */
+  List<UnusedCause> idleCauses(WaitingPieces waiting, BatchLimits limits, long now) {
+    int items = Math.min(waiting.size(), limits.maxItemsPerCall());
+    List<BatchUpstream> preferred = usable();
+    double earliestMillis =
+        earliestCompletionMillis(withMemory(preferred, limits), limits, items, now);
+    long avoided = context.upstreams().usable(service).size() - preferred.size();
+    return Stream.concat(
+            Stream.generate(() -> UnusedCause.AVOIDED).limit(avoided),
+            preferred.stream()
+                .filter(each -> each.hasFreeSlot(limits))
+                .map(each -> idleCause(each, waiting, limits, earliestMillis, now)))
+        .toList();
+  }
+
+  private UnusedCause idleCause(
+      BatchUpstream idle,
+      WaitingPieces waiting,
+      BatchLimits limits,
+      double earliestMillis,
+      long now) {
+    int items = Math.min(waiting.size(), limits.maxItemsPerCall());
+    if (!hasFreeSlot(idle, limits)) {
+      return UnusedCause.PEER_CALL;
+    }
+    if (context.sendLimiter().millisUntilAdmitted(idle.upstream(), 0) > 0) {
+      return UnusedCause.LIMIT;
+    }
+    if (freeBytes(idle, limits) <= 0) {
+      return UnusedCause.MEMORY;
+    }
+    if (idle.expectedMillis(limits, items) > earliestMillis * SLOWDOWN_TOLERANCE) {
+      return UnusedCause.SLOW;
+    }
+    return unfilledCause(idle, freeBytes(idle, limits), waiting, limits, now);
+  }
+
+  /** Returns why waiting pieces do not use the remaining places and memory of a call. */
+  UnusedCause unfilledCause(
+      BatchUpstream target, long freeBytes, WaitingPieces waiting, BatchLimits limits, long now) {
+    List<GroupInProgress> eligible = waiting.eligibleGroups(eligibility(target, limits, now));
+    if (eligible.isEmpty()) {
+      return UnusedCause.LOCALITY;
+    }
+    boolean onePieceFits =
+        eligible.stream().anyMatch(each -> each.group().resultBytes() <= freeBytes);
+    return onePieceFits ? UnusedCause.GROUP : UnusedCause.MEMORY;
+  }
+
+  private List<BatchUpstream> withMemory(List<BatchUpstream> upstreams, BatchLimits limits) {
+    return upstreams.stream().filter(each -> freeBytes(each, limits) > 0).toList();
+  }
+
+  private double earliestCompletionMillis(
+      List<BatchUpstream> upstreams, BatchLimits limits, int items, long now) {
+    return upstreams.stream()
+        .mapToDouble(each -> millisUntilCompletion(each, limits, items, now))
+        .min()
+        .orElse(0);
+  }
+
   /** Returns the expected time to process the given number of pieces after the calls in flight. */
   double backlogMillis(BatchLimits limits, long pieces, long now) {
     List<BatchUpstream> upstreams = usable();
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PriorityUsage.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PriorityUsage.java
@@ -1,6 +1,7 @@
 package org.gradeledge.batch;
 
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +24,7 @@
   private final BatchContext context;
   private final Map<PieceOutcome, long[]> pieces = new EnumMap<>(PieceOutcome.class);
   private final Set<String> calledUpstreams = new HashSet<>();
+  private final UnusedCapacity unused = new UnusedCapacity();
   private final double[] upstreamMillis = new double[Urgency.LEVELS];
   private long reportedNanos;
   private boolean contended;
@@ -48,6 +50,16 @@
     }
   }
 
+  /** Records the upstreams that are idle from now on although pieces wait. */
+  void recordIdle(Collection<UnusedCause> idleUpstreams) {
+    unused.recordIdle(idleUpstreams, context.clock().nanos());
+  }
+
+  /** Records the places of a call that were left free although pieces wait. */
+  void recordUnfilled(UnusedCause cause, int places) {
+    unused.recordUnfilled(cause, places);
+  }
+
   /** Records a group that was refused or waited too long. */
   void recordUnserved(GroupInProgress group, PieceOutcome outcome) {
     int level = level(group);
@@ -80,6 +92,8 @@
         .with("waiting", text(waiting.countByPriority()))
         .with("upstreams", upstreams.usableCount())
         .with("called", calledUpstreams.size())
+        .with("idle-ms", unused.idleText())
+        .with("unfilled", unused.unfilledText())
         .with("slowest-percent", Math.round(upstreams.highestSlowdown() * PERCENT))
         .write();
   }
@@ -87,6 +101,7 @@
   private void reset() {
     contended = false;
     calledUpstreams.clear();
+    unused.reset();
     Arrays.fill(upstreamMillis, 0);
     for (PieceOutcome outcome : PieceOutcome.values()) {
       pieces.put(outcome, new long[Urgency.LEVELS]);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -96,6 +96,11 @@
             .thenComparingLong(piece -> piece.group().sortKeyNanos()));
   }
 
+  /** Returns the waiting groups that an upstream may process now, in queue order. */
+  List<GroupInProgress> eligibleGroups(Predicate<GroupInProgress> eligible) {
+    return pieces.stream().map(StagePiece::group).distinct().filter(eligible).toList();
+  }
+
   /** Removes and returns the most urgent eligible pieces that fit into one call. */
   List<StagePiece> takeBatch(int maxPieces, long freeBytes, Predicate<GroupInProgress> eligible) {
     BatchAssembler assembler = new BatchAssembler(maxPieces, freeBytes);
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/PriorityUsageTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/PriorityUsageTests.java
@@ -98,6 +98,29 @@
             "\"upstreams\":1,\"called\":0");
   }
 
+  @Test
+  void reportsWhyPlacesOfCallsAreUnused() throws Exception {
+    submit("a", 3, 0, 60_000, false);
+    submit("b", 2, 1, 60_000, false);
+    submit("c", 3, 1, 60_000, false);
+    answerNextCall(300, "10.0.0.1:1/a0 10.0.0.1:1/a1 10.0.0.1:1/a2");
+    answerNextCall(1_100, "10.0.0.1:1/b0 10.0.0.1:1/b1");
+
+    assertThat(log.await("stage-usage").get(0)).contains("\"unfilled\":\"group:2\"");
+  }
+
+  @Test
+  void reportsWhyUpstreamsAreIdle() throws Exception {
+    coordinator.submit(StageGroups.large("a", 1, 900), result -> {});
+    answerNextCall(300, "10.0.0.1:1/a0");
+    coordinator.submit(StageGroups.large("b", 1, 900), result -> {});
+    nowMillis += 1_000;
+    coordinator.submit(StageGroups.large("c", 1, 10), result -> {});
+    answerNextCall(250, "10.0.0.1:1/c0");
+
+    assertThat(log.await("stage-usage").get(0)).contains("\"idle-ms\":\"memory:1000\"");
+  }
+
   private void submit(String request, int pieces, int priority, long dueMillis, boolean first) {
     coordinator.submit(StageGroups.due(request, pieces, priority, dueMillis, first), result -> {});
   }
