--- a/gradeledge-core/src/test/java/org/gradeledge/batch/PriorityShareTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/PriorityShareTests.java
@@ -2,23 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.embedded.EmbeddedChannel;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
-import org.gradeledge.connection.FakeUpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
-import org.gradeledge.discovery.UpstreamRecord;
-import org.gradeledge.discovery.UpstreamRegistry;
-import org.gradeledge.event.EventLogs;
-import org.gradeledge.retry.RetryBudget;
-import org.gradeledge.selection.UpstreamLoads;
-import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -40,35 +26,11 @@
   /** Lowest share that the users accept of any kind of request on a day with trouble. */
   private static final double LEAST_SHARE = 0.2;
 
-  private long nowMillis = 100_000;
-  private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
-  private final EmbeddedChannel channel = new EmbeddedChannel();
-  private final FakeUpstreamCaller caller = new FakeUpstreamCaller();
-  private final UpstreamRegistry upstreams = new UpstreamRegistry(EventLogs.silent());
-  private final Map<FakeUpstreamCaller.Call, Long> openCalls = new HashMap<>();
+  private final BatchSimulation simulation = new BatchSimulation(LIMITS, "z", "z", "z", "z");
   private final Map<Integer, Integer> arrived = new HashMap<>();
   private final Map<Integer, Integer> servedInTime = new HashMap<>();
   private final Map<Integer, Double> fractions = new HashMap<>();
   private int requests;
-  private final BatchCoordinator coordinator =
-      BatchCoordinator.builder()
-          .box("box", channel.eventLoop(), clock)
-          .upstreams(upstreams, service -> Optional.of(LIMITS))
-          .calls(caller, new FakeStageProtocol())
-          .loadAndRetries(
-              new UpstreamLoads(clock, EventLogs.silent()),
-              new RetryBudget(clock, 0, 100, Duration.ofSeconds(10), () -> 1),
-              EventLogs.silent())
-          .build();
-
-  PriorityShareTests() {
-    channel.freezeTime();
-    upstreams.replaceAll(
-        1,
-        IntStream.range(0, UPSTREAMS)
-            .mapToObj(n -> new UpstreamRecord("u" + n, "service", "10.0.0.1", n, "z", 1, false))
-            .toList());
-  }
 
   // Guards against a least urgent kind of request that is not served at all beside urgent ones.
   @ParameterizedTest
@@ -98,20 +60,12 @@
 
   private void run(long millis, double urgentPerSecond, double leastUrgentPerSecond)
       throws InterruptedException {
-    for (long end = nowMillis + millis; nowMillis < end; nowMillis++) {
-      arrive(0, URGENT_DUE_MILLIS, urgentPerSecond);
-      arrive(LEAST_URGENT, LEAST_URGENT_DUE_MILLIS, leastUrgentPerSecond);
-      while (!caller.hasNoCalls()) {
-        openCalls.put(caller.nextCall(), nowMillis + CALL_MILLIS);
-      }
-      openCalls.entrySet().stream()
-          .filter(call -> call.getValue() <= nowMillis)
-          .map(Map.Entry::getKey)
-          .toList()
-          .forEach(this::answer);
-      channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
-      channel.runPendingTasks();
-    }
+    simulation.run(
+        millis,
+        () -> {
+          arrive(0, URGENT_DUE_MILLIS, urgentPerSecond);
+          arrive(LEAST_URGENT, LEAST_URGENT_DUE_MILLIS, leastUrgentPerSecond);
+        });
   }
 
   /** Submits the requests that arrive in a millisecond, unless admission refuses them. */
@@ -122,25 +76,18 @@
     }
     fractions.put(priority, due - 1);
     arrived.merge(priority, 1, Integer::sum);
-    long expectedMillis = coordinator.backlogMillisOf("service", priority) + CALL_MILLIS;
+    BatchCoordinator coordinator = simulation.coordinator();
+    long expectedMillis =
+        coordinator.backlogMillisOf(BatchSimulation.SERVICE, priority) + CALL_MILLIS;
     if (expectedMillis <= dueMillis * LATENESS_TOLERANCE) {
-      long dueAtMillis = nowMillis + dueMillis;
+      long dueAtMillis = simulation.nowMillis() + dueMillis;
       coordinator.submit(
           StageGroups.due("r" + requests++, 1, priority, dueMillis, true),
           result -> {
-            if (result.outcome() == StageOutcome.MADE && nowMillis <= dueAtMillis) {
+            if (result.outcome() == StageOutcome.MADE && simulation.nowMillis() <= dueAtMillis) {
               servedInTime.merge(priority, 1, Integer::sum);
             }
           });
     }
   }
-
-  private void answer(FakeUpstreamCaller.Call call) {
-    openCalls.remove(call);
-    call.respond(
-        200,
-        Stream.of(call.body().split(" "))
-            .map(item -> call.target().address() + "/" + item)
-            .collect(Collectors.joining(" ")));
-  }
 }
