Fix SHORT: count more urgent arrivals once in the forecast that refuses requests

Callers of the least urgent kind were refused on arrival for 2 to 14 s at a time, with an expected time of 3 to 6 s, while those admitted beside them took 1.0 to 1.7 s instead of the 2.3 to 2.8 s expected.

Cause: the forecast took the pieces that admitted urgent requests will submit for work ahead, and counted the same pieces again as urgent arrivals, by dividing by the share of time that arrivals leave (down to 0.15, so up to 6.7 times). And it took the order for strict, although a later urgent piece overtakes only until the older one is due first (400 ms for each priority level). Of what is known and what is expected to arrive the longer now counts, and each priority's arrivals count for the time in which they can overtake.

AdmissionForecastTests failed before: urgent load 0.7 and least urgent load 0.2 of the capacity, 0.167 of the latter served; now all but a tenth.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ArrivalRates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ArrivalRates.java
@@ -5,7 +5,7 @@
 
 /**
  * Estimates the arrival rate of pieces for one service and each priority by exponentially decaying
- * counts. Confined to the event loop.
+ * counts, and how long after their arrival they are due. Confined to the event loop.
  */
 final class ArrivalRates {
 
@@ -14,8 +14,12 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Decayed count below which the mean of the due times is not known any more. */
+  private static final double MIN_COUNT = 1e-6;
+
   private final MonotonicClock clock;
   private final double[] decayedCounts = new double[Urgency.LEVELS];
+  private final double[] decayedDueMillis = new double[Urgency.LEVELS];
   private long decayedAtNanos;
 
   ArrivalRates(MonotonicClock clock) {
@@ -23,19 +27,31 @@
     this.decayedAtNanos = clock.nanos();
   }
 
-  void recordArrivals(int priority, int pieces) {
+  /**
+   * Records the pieces of a group.
+   *
+   * @param dueMillis time until they are due
+   */
+  void recordArrivals(int priority, int pieces, long dueMillis) {
     decay();
-    decayedCounts[PendingPieces.level(priority)] += pieces;
+    int level = PendingPieces.level(priority);
+    decayedCounts[level] += pieces;
+    decayedDueMillis[level] += (double) pieces * dueMillis;
   }
 
-  /** Returns the number of pieces per second that are more urgent than the given priority. */
-  double ratePerSecondAbove(int priority) {
+  /** Returns the number of pieces of a priority that arrive per second. */
+  double ratePerSecond(int priority) {
     decay();
-    double sum = 0;
-    for (int level = 0; level < Math.min(priority, decayedCounts.length); level++) {
-      sum += decayedCounts[level];
-    }
-    return sum / DECAY_SECONDS;
+    return decayedCounts[PendingPieces.level(priority)] / DECAY_SECONDS;
+  }
+
+  /** Returns the mean time from the arrival of a priority's pieces until they are due. */
+  double meanDueMillis(int priority, double defaultMillis) {
+    decay();
+    int level = PendingPieces.level(priority);
+    return decayedCounts[level] < MIN_COUNT
+        ? defaultMillis
+        : decayedDueMillis[level] / decayedCounts[level];
   }
 
   private void decay() {
@@ -44,6 +60,7 @@
     decayedAtNanos = now;
     for (int level = 0; level < decayedCounts.length; level++) {
       decayedCounts[level] *= factor;
+      decayedDueMillis[level] *= factor;
     }
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -11,7 +11,9 @@
 /** A group of pieces that waits or is being computed. Confined to the event loop. */
 final class GroupInProgress {
 
-  private static final long NANOS_PER_PRIORITY = 400_000_000L;
+  /** Delay of a priority level in the order of the queue, in milliseconds. */
+  static final long MILLIS_PER_PRIORITY = 400;
+
   private static final long MIN_LOCALITY_BYTES = 200_000;
   private static final double LOCALITY_WAIT_SHARE = 0.35;
 
@@ -105,7 +107,7 @@
 
   /** Returns the sort key of the group: its target time plus a delay for each priority level. */
   long sortKeyNanos() {
-    return dueNanos + group.priority() * NANOS_PER_PRIORITY;
+    return dueNanos + group.priority() * MILLIS_PER_PRIORITY * 1_000_000;
   }
 
   /** Records that an upstream has fetched the inputs of a piece. */
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/PendingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/PendingPieces.java
@@ -63,8 +63,14 @@
     countsByPeer.remove(peer);
   }
 
-  /** Returns the number of pending pieces of a service with this priority or a more urgent one. */
+  /**
+   * Returns the number of pending pieces of a service with this priority or a more urgent one; zero
+   * if the priority is negative.
+   */
   long total(String service, int priority) {
+    if (priority < 0) {
+      return 0;
+    }
     long peerCount =
         countsByPeer.values().stream()
             .map(counts -> counts.getOrDefault(service, List.of()))
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
@@ -8,8 +8,8 @@
  */
 final class QueueForecast {
 
-  /** Lower bound, so that a burst of more urgent pieces does not block all others. */
-  private static final double MIN_REMAINING_SHARE = 0.15;
+  private static final int MAX_ITERATIONS = 50;
+  private static final double MILLIS_PER_SECOND = 1e3;
 
   private final String service;
   private final BatchContext context;
@@ -38,9 +38,13 @@
     long ahead = waiting.countAhead(group, limits.expectedMillis(1), now);
     double ownMillis =
         limits.expectedMillis(Math.min(group.group().pieces(), limits.maxItemsPerCall()));
-    double waitMillis = upstreams.backlogMillis(limits, ahead, now);
-    return !group.meetsTargetAfter(
-        waitMillis / remainingShare(group.group().priority(), limits) + ownMillis, now);
+    double waitMillis =
+        withOvertaking(
+            upstreams.backlogMillis(limits, ahead, now),
+            group.group().priority(),
+            group.group().dueMillis(),
+            limits);
+    return !group.meetsTargetAfter(waitMillis + ownMillis, now);
   }
 
   /**
@@ -53,22 +57,55 @@
 
   private long backlogMillis(BatchLimits limits, int priority) {
     long now = context.clock().nanos();
-    long pieces =
+    long urgentPending = context.pendingPieces().total(service, priority - 1);
+    long ahead =
         waiting.countInTime(priority, limits.expectedMillis(1), now)
-            + context.pendingPieces().total(service, priority);
-    return (long) (upstreams.backlogMillis(limits, pieces, now) / remainingShare(priority, limits));
+            + context.pendingPieces().total(service, priority)
+            - urgentPending;
+    double knownMillis = upstreams.backlogMillis(limits, ahead + urgentPending, now);
+    double expectedMillis =
+        withOvertaking(
+            upstreams.backlogMillis(limits, ahead, now),
+            priority,
+            arrivals.meanDueMillis(priority, 0),
+            limits);
+    // More urgent pending pieces are among the expected arrivals and count only once.
+    return (long) Math.max(knownMillis, expectedMillis);
   }
 
   void recordArrival(StageGroup group) {
-    arrivals.recordArrivals(group.priority(), group.pieces());
+    arrivals.recordArrivals(group.priority(), group.pieces(), group.dueMillis());
   }
 
   /**
-   * Returns the share of the upstreams' time that remains for a priority after the more urgent
-   * pieces that arrive in the meantime (Cobham's formula for priority queues).
+   * Returns the expected time to process work if the more urgent pieces that arrive in the meantime
+   * overtake it. A later piece does so only while it precedes the work in the order of the queue.
    */
-  private double remainingShare(int priority, BatchLimits limits) {
-    double usedShare = arrivals.ratePerSecondAbove(priority) * upstreams.secondsPerPiece(limits);
-    return Math.max(MIN_REMAINING_SHARE, 1 - usedShare);
+  private double withOvertaking(
+      double workMillis, int priority, double dueMillis, BatchLimits limits) {
+    double millis = workMillis;
+    for (int iteration = 0; iteration < MAX_ITERATIONS; iteration++) {
+      double longer = workMillis + overtakingMillis(millis, priority, dueMillis, limits);
+      if (longer - millis < 1) {
+        return longer;
+      }
+      millis = longer;
+    }
+    return millis;
+  }
+
+  /** Returns the time that the pieces arriving within the given time and overtaking take. */
+  private double overtakingMillis(
+      double withinMillis, int priority, double dueMillis, BatchLimits limits) {
+    double pieces = 0;
+    for (int urgent = 0; urgent < PendingPieces.level(priority); urgent++) {
+      double overtakesForMillis =
+          dueMillis
+              - arrivals.meanDueMillis(urgent, dueMillis)
+              + (priority - urgent) * GroupInProgress.MILLIS_PER_PRIORITY;
+      double millis = Math.max(0, Math.min(withinMillis, overtakesForMillis));
+      pieces += arrivals.ratePerSecond(urgent) * millis / MILLIS_PER_SECOND;
+    }
+    return pieces * upstreams.secondsPerPiece(limits) * MILLIS_PER_SECOND;
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/AdmissionForecastTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/AdmissionForecastTests.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.gradeledge.deployment.BatchLimits;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -35,7 +34,6 @@
   // Guards against requests that are refused although the upstreams could serve all of them.
   @ParameterizedTest
   @CsvSource({"0.5, 0.2", "0.5, 0.4", "0.7, 0.2"})
-  @Tag("known-red")
   void leastUrgentRequestsAreAdmittedWhileUpstreamsCanServeAll(
       double urgentLoad, double leastUrgentLoad) throws Exception {
     simulation.run(
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/ArrivalRatesTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/ArrivalRatesTests.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.util.concurrent.atomic.AtomicLong;
+import org.gradeledge.deployment.Urgency;
 import org.junit.jupiter.api.Test;
 
 class ArrivalRatesTests {
@@ -17,15 +18,16 @@
   void reportsTheRateOfASteadyStream() {
     arrive(0, 400, 25);
 
-    assertThat(rates.ratePerSecondAbove(1)).isCloseTo(40, within(1.0));
+    assertThat(rates.ratePerSecond(0)).isCloseTo(40, within(1.0));
   }
 
   @Test
-  void countsOnlyMoreUrgentPieces() {
+  void countsEachPriorityOnItsOwn() {
     arrive(1, 400, 25);
 
-    assertThat(rates.ratePerSecondAbove(1)).isZero();
-    assertThat(rates.ratePerSecondAbove(2)).isPositive();
+    assertThat(rates.ratePerSecond(0)).isZero();
+    assertThat(rates.ratePerSecond(1)).isCloseTo(40, within(1.0));
+    assertThat(rates.ratePerSecond(2)).isZero();
   }
 
   @Test
@@ -33,19 +35,28 @@
     arrive(0, 400, 25);
     nanos.addAndGet(10_000 * NANOS_PER_MILLI);
 
-    assertThat(rates.ratePerSecondAbove(1)).isLessThan(1);
+    assertThat(rates.ratePerSecond(0)).isLessThan(1);
   }
 
   @Test
   void outOfRangePrioritiesCountAsTheLastLevel() {
     arrive(99, 10, 25);
 
-    assertThat(rates.ratePerSecondAbove(100)).isPositive();
+    assertThat(rates.ratePerSecond(Urgency.LEVELS - 1)).isPositive();
+  }
+
+  @Test
+  void reportsTheMeanDueTimeOfEachPriority() {
+    rates.recordArrivals(1, 3, 1_000);
+    rates.recordArrivals(1, 1, 2_000);
+
+    assertThat(rates.meanDueMillis(1, 5)).isCloseTo(1_250, within(1e-6));
+    assertThat(rates.meanDueMillis(0, 5)).isEqualTo(5);
   }
 
   private void arrive(int priority, int times, long gapMillis) {
     for (int i = 0; i < times; i++) {
-      rates.recordArrivals(priority, 1);
+      rates.recordArrivals(priority, 1, 1_000);
       nanos.addAndGet(gapMillis * NANOS_PER_MILLI);
     }
   }
