Fix SHORT: guarantee each priority a share of a stage service

Cause: nothing bounds how long a priority gets nothing, neither the order of the queue nor the forecast that refuses requests. Now each priority is guaranteed a tenth of the pieces that a service processes, a quarter among all; whatever is processed of it counts, so that it is preferred only once it had less for a second. The forecast admits what the guarantee covers, and adds the pieces that are preferred to the wait of more urgent ones. As a forecast may now be shorter for a less urgent priority, boxes report it for each one; the list used to end at the first priority that reached the last one's value, which would have told peers 22 ms where the box itself knew 2,907 (AdmissionForecastTests, failed first).

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCoordinator.java
@@ -9,7 +9,6 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.gradeledge.connection.LivenessChecker;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.deployment.BatchLimits;
@@ -102,8 +101,8 @@
 
   /**
    * Returns the expected time in milliseconds to process the waiting and pending pieces of each
-   * service. The element at index {@code p} covers the pieces of priority {@code p} and all more
-   * urgent ones; a list ends at the first priority that covers all pieces.
+   * service. The element at index {@code p} covers the pieces of priority {@code p} and those that
+   * precede them; the last element holds for all less urgent priorities as well.
    */
   public Map<String, List<Long>> backlogMillis() {
     queues.values().forEach(BatchQueue::expireResults);
@@ -121,12 +120,13 @@
   }
 
   private static List<Long> byPriority(BatchQueue queue) {
-    long total = queue.backlogMillis(PendingPieces.PRIORITY_LEVELS - 1);
-    Stream<Long> partial =
-        IntStream.range(0, PendingPieces.PRIORITY_LEVELS)
-            .mapToObj(queue::backlogMillis)
-            .takeWhile(millis -> millis < total);
-    return Stream.concat(partial, Stream.of(total)).toList();
+    List<Long> millis =
+        IntStream.range(0, PendingPieces.PRIORITY_LEVELS).mapToObj(queue::backlogMillis).toList();
+    int levels = millis.size();
+    while (levels > 1 && millis.get(levels - 1).equals(millis.get(levels - 2))) {
+      levels--;
+    }
+    return millis.subList(0, levels);
   }
 
   private BatchQueue queueOf(String service) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -35,6 +35,7 @@
   private final CallTimeouts timeouts;
   private final QueueForecast forecast;
   private final PriorityUsage usage;
+  private final GuaranteedShares guarantees;
   private final CrashCheck crashCheck;
   private final DelayedRecheck recheck;
 
@@ -50,7 +51,8 @@
     this.timeouts = new CallTimeouts(service, context, retries, loop);
     this.recheck = new DelayedRecheck(loop, this::dispatch);
     this.crashCheck = new CrashCheck(context.livenessChecker(), loop);
-    this.forecast = new QueueForecast(service, context, waiting, upstreams);
+    this.guarantees = new GuaranteedShares(context.clock());
+    this.forecast = new QueueForecast(service, context, waiting, upstreams, guarantees);
     this.usage = new PriorityUsage(service, context);
   }
 
@@ -102,7 +104,8 @@
     long now = context.clock().nanos();
     double shortest = limits.get().expectedMillis(1);
     waiting.removeExpired(shortest, now).forEach(this::expire);
-    waiting.sort(shortest, now);
+    forecast.refillGuarantees(limits.get());
+    waiting.sort(shortest, guarantees, now);
     boolean callStarted = true;
     while (callStarted && !waiting.isEmpty()) {
       callStarted = callNext(limits.get(), now);
@@ -137,7 +140,7 @@
     if (batch.isEmpty()) {
       return false;
     }
-    batch.forEach(piece -> piece.group().recordCall(target.upstream().zone(), now));
+    batch.forEach(piece -> recordStarted(piece, target, now));
     BatchCall call = new BatchCall(target, batch, limits, now, this);
     double expected = target.expectedMillis(limits, batch.size());
     recordUnfilledPlaces(call, now);
@@ -159,6 +162,12 @@
     return true;
   }
 
+  private void recordStarted(StagePiece piece, BatchUpstream target, long now) {
+    GroupInProgress group = piece.group();
+    group.recordCall(target.upstream().zone(), now);
+    forecast.recordStarted(group);
+  }
+
   private void recordUnfilledPlaces(BatchCall call, long now) {
     BatchLimits limits = call.limits();
     int places = limits.maxItemsPerCall() - call.pieces().size();
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/GroupInProgress.java
@@ -30,6 +30,7 @@
   private final BitSet piecesWithInputs = new BitSet();
   private final Set<String> crashedUpstreams = new LinkedHashSet<>();
   private boolean ended;
+  private boolean preferred;
 
   GroupInProgress(
       StageGroup group, String zone, String box, long nowNanos, StageWorkListener listener) {
@@ -110,6 +111,15 @@
     return dueNanos + group.priority() * MILLIS_PER_PRIORITY * 1_000_000;
   }
 
+  /** Returns whether the group precedes more urgent ones, as its priority is guaranteed a share. */
+  boolean isPreferred() {
+    return preferred;
+  }
+
+  void setPreferred(boolean preferred) {
+    this.preferred = preferred;
+  }
+
   /** Records that an upstream has fetched the inputs of a piece. */
   void inputsFetched(int index) {
     boolean hadAllInputs = hasAllInputs();
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
@@ -1,5 +1,6 @@
 package org.gradeledge.batch;
 
+import java.util.stream.IntStream;
 import org.gradeledge.deployment.BatchLimits;
 
 /**
@@ -8,6 +9,12 @@
  */
 final class QueueForecast {
 
+  /** A priority counts as active for some seconds after its last piece. */
+  private static final double MIN_ACTIVE_RATE = 0.1;
+
+  /** Due time of a priority without recent pieces: all more urgent pieces overtake it. */
+  private static final double NEVER_DUE_MILLIS = 1e6;
+
   private static final int MAX_ITERATIONS = 50;
   private static final double MILLIS_PER_SECOND = 1e3;
 
@@ -16,14 +23,34 @@
   private final WaitingPieces waiting;
   private final BatchUpstreams upstreams;
   private final ArrivalRates arrivals;
+  private final GuaranteedShares guarantees;
+  private final ArrivalRates preferredStarts;
 
   QueueForecast(
-      String service, BatchContext context, WaitingPieces waiting, BatchUpstreams upstreams) {
+      String service,
+      BatchContext context,
+      WaitingPieces waiting,
+      BatchUpstreams upstreams,
+      GuaranteedShares guarantees) {
     this.arrivals = new ArrivalRates(context.clock());
     this.service = service;
     this.context = context;
     this.waiting = waiting;
     this.upstreams = upstreams;
+    this.guarantees = guarantees;
+    this.preferredStarts = new ArrivalRates(context.clock());
+  }
+
+  /** Adds to the guarantees of the priorities what has accrued since the last call. */
+  void refillGuarantees(BatchLimits limits) {
+    guarantees.refill(1 / upstreams.secondsPerPiece(limits), activePriorities());
+  }
+
+  private int activePriorities() {
+    return (int)
+        IntStream.range(0, PendingPieces.PRIORITY_LEVELS)
+            .filter(level -> arrivals.ratePerSecond(level) > MIN_ACTIVE_RATE)
+            .count();
   }
 
   /**
@@ -44,7 +71,11 @@
             group.group().priority(),
             group.group().dueMillis(),
             limits);
-    return !group.meetsTargetAfter(waitMillis + ownMillis, now);
+    int priority = group.group().priority();
+    long ofPriority = waiting.countInTime(priority, priority, limits.expectedMillis(1), now);
+    double soonestMillis =
+        Math.min(waitMillis, untilGuaranteedMillis(ofPriority, priority, limits, now));
+    return !group.meetsTargetAfter(soonestMillis + ownMillis, now);
   }
 
   /**
@@ -58,25 +89,55 @@
   private long backlogMillis(BatchLimits limits, int priority) {
     long now = context.clock().nanos();
     long urgentPending = context.pendingPieces().total(service, priority - 1);
+    long ownPending = context.pendingPieces().total(service, priority) - urgentPending;
     long ahead =
         waiting.countInTime(priority, limits.expectedMillis(1), now)
-            + context.pendingPieces().total(service, priority)
-            - urgentPending;
+            + waiting.countPreferredBelow(priority)
+            + ownPending;
     double knownMillis = upstreams.backlogMillis(limits, ahead + urgentPending, now);
     double expectedMillis =
         withOvertaking(
             upstreams.backlogMillis(limits, ahead, now),
             priority,
-            arrivals.meanDueMillis(priority, 0),
+            arrivals.meanDueMillis(priority, NEVER_DUE_MILLIS),
             limits);
+    long ofPriority =
+        waiting.countInTime(priority, priority, limits.expectedMillis(1), now) + ownPending;
     // More urgent pending pieces are among the expected arrivals and count only once.
-    return (long) Math.max(knownMillis, expectedMillis);
+    return (long)
+        Math.min(
+            Math.max(knownMillis, expectedMillis),
+            untilGuaranteedMillis(ofPriority, priority, limits, now));
+  }
+
+  /** Returns the time after which a priority's guarantee covers one piece more than the given. */
+  private double untilGuaranteedMillis(long pieces, int priority, BatchLimits limits, long now) {
+    refillGuarantees(limits);
+    double uncovered = Math.max(0, pieces + 1 - guarantees.credit(priority));
+    double guaranteedMillis =
+        upstreams.backlogMillis(limits, 0, now)
+            + uncovered / guarantees.piecesPerSecond() * MILLIS_PER_SECOND;
+    return Math.max(upstreams.backlogMillis(limits, pieces, now), guaranteedMillis);
   }
 
   void recordArrival(StageGroup group) {
     arrivals.recordArrivals(group.priority(), group.pieces(), group.dueMillis());
   }
 
+  /** Records a piece that an upstream begins to process. */
+  void recordStarted(GroupInProgress group) {
+    guarantees.recordStarted(group.group().priority(), group.isPreferred());
+    if (group.isPreferred()) {
+      preferredStarts.recordArrivals(group.group().priority(), 1, 0);
+    }
+  }
+
+  private double preferredPerSecondBelow(int priority) {
+    return IntStream.range(PendingPieces.level(priority) + 1, PendingPieces.PRIORITY_LEVELS)
+        .mapToDouble(preferredStarts::ratePerSecond)
+        .sum();
+  }
+
   /**
    * Returns the expected time to process work if the more urgent pieces that arrive in the meantime
    * overtake it. A later piece does so only while it precedes the work in the order of the queue.
@@ -97,7 +158,7 @@
   /** Returns the time that the pieces arriving within the given time and overtaking take. */
   private double overtakingMillis(
       double withinMillis, int priority, double dueMillis, BatchLimits limits) {
-    double pieces = 0;
+    double pieces = preferredPerSecondBelow(priority) * withinMillis / MILLIS_PER_SECOND;
     for (int urgent = 0; urgent < PendingPieces.level(priority); urgent++) {
       double overtakesForMillis =
           dueMillis
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -1,6 +1,7 @@
 package org.gradeledge.batch;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -53,8 +54,14 @@
    * @param callMillis expected duration of a call
    */
   long countInTime(int priority, double callMillis, long now) {
+    return countInTime(0, priority, callMillis, now);
+  }
+
+  /** Returns the same number for the priorities of a range. */
+  long countInTime(int mostUrgent, int leastUrgent, double callMillis, long now) {
     return pieces.stream()
-        .filter(piece -> piece.group().group().priority() <= priority)
+        .filter(piece -> piece.group().group().priority() >= mostUrgent)
+        .filter(piece -> piece.group().group().priority() <= leastUrgent)
         .filter(piece -> piece.group().meetsTargetAfter(callMillis, now))
         .count();
   }
@@ -89,11 +96,29 @@
     return late;
   }
 
-  /** Sorts by target time, with pieces that can no longer meet it at the end. */
-  void sort(double callMillis, long now) {
+  /**
+   * Sorts by target time, with the guaranteed pieces of each priority first and pieces that can no
+   * longer meet their target time at the end.
+   */
+  void sort(double callMillis, GuaranteedShares guarantees, long now) {
     pieces.sort(
         Comparator.comparing((StagePiece piece) -> !piece.group().meetsTargetAfter(callMillis, now))
             .thenComparingLong(piece -> piece.group().sortKeyNanos()));
+    double[] credits = new double[Urgency.LEVELS];
+    Arrays.setAll(credits, guarantees::credit);
+    for (GroupInProgress group : groups()) {
+      int level = PendingPieces.level(group.group().priority());
+      group.setPreferred(credits[level] > 0 && group.meetsTargetAfter(callMillis, now));
+      credits[level] -= group.isPreferred() ? group.group().pieces() : 0;
+    }
+    pieces.sort(Comparator.comparing(piece -> !piece.group().isPreferred()));
+  }
+
+  /** Returns the number of pieces that precede those of a more urgent priority. */
+  long countPreferredBelow(int priority) {
+    return pieces.stream()
+        .filter(piece -> piece.group().isPreferred() && piece.group().group().priority() > priority)
+        .count();
   }
 
   /** Returns the waiting groups in queue order. */
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/AdmissionForecastTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/AdmissionForecastTests.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.gradeledge.deployment.BatchLimits;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -47,6 +50,27 @@
     assertThat(share(0)).isGreaterThanOrEqualTo(0.9);
   }
 
+  // Guards against boxes that are told a shorter backlog than the box that makes the calls knows.
+  @Test
+  void reportsTheBacklogOfEachPriority() throws Exception {
+    simulation.run(5_000, () -> arrive(3, CAPACITY_PER_SECOND));
+    for (int group = 0; group < 30; group++) {
+      simulation.coordinator().submit(StageGroups.due("a" + group, 4, 3, 30_000, false), r -> {});
+      simulation.coordinator().submit(StageGroups.due("b" + group, 4, 5, 30_000, false), r -> {});
+    }
+
+    List<Long> reported = simulation.coordinator().backlogMillis().get(BatchSimulation.SERVICE);
+
+    assertThat(IntStream.range(0, PendingPieces.PRIORITY_LEVELS))
+        .allSatisfy(
+            priority ->
+                assertThat(reported.get(Math.min(priority, reported.size() - 1)))
+                    .isEqualTo(
+                        simulation
+                            .coordinator()
+                            .backlogMillisOf(BatchSimulation.SERVICE, priority)));
+  }
+
   private double share(int priority) {
     return (double) servedInTime.getOrDefault(priority, 0) / arrived.get(priority);
   }
