--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -127,16 +127,21 @@
 
   private boolean callNext(BatchLimits limits, long now) {
     int items = Math.min(waiting.size(), limits.maxItemsPerCall());
-    return upstreams.candidates(limits, items, now).stream()
-        .anyMatch(each -> tryCall(each, limits, now));
+    List<BatchUpstream> candidates = upstreams.candidates(limits, items, now);
+    if (candidates.isEmpty()) {
+      return false;
+    }
+    ZoneAffinity affinity = upstreams.zoneAffinity(waiting, limits, now);
+    return candidates.stream().anyMatch(each -> tryCall(each, affinity, limits, now));
   }
 
-  private boolean tryCall(BatchUpstream target, BatchLimits limits, long now) {
+  private boolean tryCall(
+      BatchUpstream target, ZoneAffinity affinity, BatchLimits limits, long now) {
     List<StagePiece> batch =
         waiting.takeBatch(
             limits.maxItemsPerCall(),
             upstreams.freeBytes(target, limits),
-            upstreams.eligibility(target, waiting, limits, now));
+            affinity.eligibleIn(target.upstream().zone()));
     if (batch.isEmpty()) {
       return false;
     }
@@ -173,8 +178,9 @@
     int places = limits.maxItemsPerCall() - call.pieces().size();
     if (places > 0 && !waiting.isEmpty()) {
       long freeBytes = upstreams.freeBytes(call.target(), limits) - call.resultBytes();
+      ZoneAffinity affinity = upstreams.zoneAffinity(waiting, limits, now);
       usage.recordUnfilled(
-          upstreams.unfilledCause(call.target(), freeBytes, waiting, limits, now), places);
+          upstreams.unfilledCause(call.target(), freeBytes, waiting, affinity), places);
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.gradeledge.deployment.BatchLimits;
@@ -60,20 +59,21 @@
     double earliestMillis =
         earliestCompletionMillis(withMemory(preferred, limits), limits, items, now);
     long avoided = context.upstreams().usable(service).size() - preferred.size();
+    ZoneAffinity affinity = zoneAffinity(waiting, limits, now);
     return Stream.concat(
             Stream.generate(() -> UnusedCause.AVOIDED).limit(avoided),
             preferred.stream()
                 .filter(each -> each.hasFreeSlot(limits))
-                .map(each -> idleCause(each, waiting, limits, earliestMillis, now)))
+                .map(each -> idleCause(each, waiting, affinity, limits, earliestMillis)))
         .toList();
   }
 
   private UnusedCause idleCause(
       BatchUpstream idle,
       WaitingPieces waiting,
+      ZoneAffinity affinity,
       BatchLimits limits,
-      double earliestMillis,
-      long now) {
+      double earliestMillis) {
     int items = Math.min(waiting.size(), limits.maxItemsPerCall());
     if (!hasFreeSlot(idle, limits)) {
       return UnusedCause.PEER_CALL;
@@ -87,14 +87,14 @@
     if (idle.expectedMillis(limits, items) > earliestMillis * SLOWDOWN_TOLERANCE) {
       return UnusedCause.SLOW;
     }
-    return unfilledCause(idle, freeBytes(idle, limits), waiting, limits, now);
+    return unfilledCause(idle, freeBytes(idle, limits), waiting, affinity);
   }
 
   /** Returns why waiting pieces do not use the remaining places and memory of a call. */
   UnusedCause unfilledCause(
-      BatchUpstream target, long freeBytes, WaitingPieces waiting, BatchLimits limits, long now) {
+      BatchUpstream target, long freeBytes, WaitingPieces waiting, ZoneAffinity affinity) {
     List<GroupInProgress> eligible =
-        waiting.groups().stream().filter(eligibility(target, waiting, limits, now)).toList();
+        waiting.groups().stream().filter(affinity.eligibleIn(target.upstream().zone())).toList();
     if (eligible.isEmpty()) {
       return UnusedCause.LOCALITY;
     }
@@ -196,11 +196,9 @@
     return target.hasFreeSlot(limits) && peerCalls < limits.maxConcurrentCalls();
   }
 
-  /** Returns which groups an upstream may process now. */
-  Predicate<GroupInProgress> eligibility(
-      BatchUpstream target, WaitingPieces waiting, BatchLimits limits, long now) {
-    return new ZoneAffinity(waiting.groups(), placesByZone(limits), limits, now)
-        .eligibleIn(target.upstream().zone());
+  /** Returns which groups the upstreams of each zone may process now. */
+  ZoneAffinity zoneAffinity(WaitingPieces waiting, BatchLimits limits, long now) {
+    return new ZoneAffinity(waiting.groups(), placesByZone(limits), limits, now);
   }
 
   /** Returns how many pieces the next calls to the upstreams of each zone take. */
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
@@ -144,9 +144,11 @@
    */
   private double withOvertaking(
       double workMillis, int priority, double dueMillis, BatchLimits limits) {
+    double secondsPerPiece = upstreams.secondsPerPiece(limits);
     double millis = workMillis;
     for (int iteration = 0; iteration < MAX_ITERATIONS; iteration++) {
-      double longer = workMillis + overtakingMillis(millis, priority, dueMillis, limits);
+      double overtaking = overtakingPieces(millis, priority, dueMillis);
+      double longer = workMillis + overtaking * secondsPerPiece * MILLIS_PER_SECOND;
       if (longer - millis < 1) {
         return longer;
       }
@@ -155,9 +157,8 @@
     return millis;
   }
 
-  /** Returns the time that the pieces arriving within the given time and overtaking take. */
-  private double overtakingMillis(
-      double withinMillis, int priority, double dueMillis, BatchLimits limits) {
+  /** Returns the number of pieces that arrive within the given time and overtake the others. */
+  private double overtakingPieces(double withinMillis, int priority, double dueMillis) {
     double pieces = preferredPerSecondBelow(priority) * withinMillis / MILLIS_PER_SECOND;
     for (int urgent = 0; urgent < PendingPieces.level(priority); urgent++) {
       double overtakesForMillis =
@@ -167,6 +168,6 @@
       double millis = Math.max(0, Math.min(withinMillis, overtakesForMillis));
       pieces += arrivals.ratePerSecond(urgent) * millis / MILLIS_PER_SECOND;
     }
-    return pieces * upstreams.secondsPerPiece(limits) * MILLIS_PER_SECOND;
+    return pieces;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/WaitingPieces.java
@@ -106,12 +106,16 @@
             .thenComparingLong(piece -> piece.group().sortKeyNanos()));
     double[] credits = new double[Urgency.LEVELS];
     Arrays.setAll(credits, guarantees::credit);
+    boolean anyPreferred = false;
     for (GroupInProgress group : groups()) {
       int level = PendingPieces.level(group.group().priority());
       group.setPreferred(credits[level] > 0 && group.meetsTargetAfter(callMillis, now));
       credits[level] -= group.isPreferred() ? group.group().pieces() : 0;
+      anyPreferred |= group.isPreferred();
+    }
+    if (anyPreferred) {
+      pieces.sort(Comparator.comparing(piece -> !piece.group().isPreferred()));
     }
-    pieces.sort(Comparator.comparing(piece -> !piece.group().isPreferred()));
   }
 
   /** Returns the number of pieces that precede those of a more urgent priority. */
