Compute the rates of a queue forecast once, not for each step of it

The forecast of each of ten priorities asked for each priority's arrival rate up to fifty times, and each time all counts decayed anew. The rates are read once for each forecast, and counts decay once a millisecond at most.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ArrivalRates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ArrivalRates.java
@@ -14,6 +14,9 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Decay is not computed again within this time. */
+  private static final long MIN_DECAY_NANOS = 1_000_000;
+
   /** Decayed count below which the mean of the due times is not known any more. */
   private static final double MIN_COUNT = 1e-6;
 
@@ -56,6 +59,9 @@
 
   private void decay() {
     long now = clock.nanos();
+    if (now - decayedAtNanos < MIN_DECAY_NANOS) {
+      return;
+    }
     double factor = Math.exp((decayedAtNanos - now) / (DECAY_SECONDS * NANOS_PER_SECOND));
     decayedAtNanos = now;
     for (int level = 0; level < decayedCounts.length; level++) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -55,14 +55,14 @@
   /** Returns why each upstream without a call is idle although pieces wait. */
   List<UnusedCause> idleCauses(WaitingPieces waiting, BatchLimits limits, long now) {
     int items = Math.min(waiting.size(), limits.maxItemsPerCall());
-    List<BatchUpstream> preferred = usable();
+    List<BatchUpstream> available = usable();
     double earliestMillis =
-        earliestCompletionMillis(withMemory(preferred, limits), limits, items, now);
-    long avoided = context.upstreams().usable(service).size() - preferred.size();
+        earliestCompletionMillis(withMemory(available, limits), limits, items, now);
+    long avoided = context.upstreams().usable(service).size() - available.size();
     ZoneAffinity affinity = zoneAffinity(waiting, limits, now);
     return Stream.concat(
             Stream.generate(() -> UnusedCause.AVOIDED).limit(avoided),
-            preferred.stream()
+            available.stream()
                 .filter(each -> each.hasFreeSlot(limits))
                 .map(each -> idleCause(each, waiting, affinity, limits, earliestMillis)))
         .toList();
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
@@ -1,5 +1,7 @@
 package org.gradeledge.batch;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.gradeledge.deployment.BatchLimits;
 
@@ -144,11 +146,13 @@
    */
   private double withOvertaking(
       double workMillis, int priority, double dueMillis, BatchLimits limits) {
-    double secondsPerPiece = upstreams.secondsPerPiece(limits);
+    List<Overtaking> overtaking = overtaking(priority, dueMillis, limits);
     double millis = workMillis;
     for (int iteration = 0; iteration < MAX_ITERATIONS; iteration++) {
-      double overtaking = overtakingPieces(millis, priority, dueMillis);
-      double longer = workMillis + overtaking * secondsPerPiece * MILLIS_PER_SECOND;
+      double longer = workMillis;
+      for (Overtaking each : overtaking) {
+        longer += each.millisWithin(millis);
+      }
       if (longer - millis < 1) {
         return longer;
       }
@@ -157,17 +161,32 @@
     return millis;
   }
 
-  /** Returns the number of pieces that arrive within the given time and overtake the others. */
-  private double overtakingPieces(double withinMillis, int priority, double dueMillis) {
-    double pieces = preferredPerSecondBelow(priority) * withinMillis / MILLIS_PER_SECOND;
+  /** Returns the arrivals that overtake work of a priority: urgent ones and preferred ones. */
+  private List<Overtaking> overtaking(int priority, double dueMillis, BatchLimits limits) {
+    double secondsPerPiece = upstreams.secondsPerPiece(limits);
+    List<Overtaking> overtaking = new ArrayList<>();
+    overtaking.add(
+        new Overtaking(preferredPerSecondBelow(priority) * secondsPerPiece, NEVER_DUE_MILLIS));
     for (int urgent = 0; urgent < PendingPieces.level(priority); urgent++) {
-      double overtakesForMillis =
+      double forMillis =
           dueMillis
               - arrivals.meanDueMillis(urgent, dueMillis)
               + (priority - urgent) * GroupInProgress.MILLIS_PER_PRIORITY;
-      double millis = Math.max(0, Math.min(withinMillis, overtakesForMillis));
-      pieces += arrivals.ratePerSecond(urgent) * millis / MILLIS_PER_SECOND;
+      overtaking.add(new Overtaking(arrivals.ratePerSecond(urgent) * secondsPerPiece, forMillis));
+    }
+    return overtaking;
+  }
+
+  /**
+   * Arrivals that are processed before work that waits.
+   *
+   * @param share share of the upstreams' time that they take
+   * @param forMillis time in which they do so
+   */
+  private record Overtaking(double share, double forMillis) {
+
+    double millisWithin(double millis) {
+      return share * Math.max(0, Math.min(millis, forMillis));
     }
-    return pieces;
   }
 }
