--- a/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/QueueForecast.java
@@ -103,13 +103,14 @@
             priority,
             arrivals.meanDueMillis(priority, NEVER_DUE_MILLIS),
             limits);
+    // More urgent pending pieces are among the expected arrivals and count only once.
+    double millis = Math.max(knownMillis, expectedMillis);
+    if (millis <= limits.expectedMillis(1)) {
+      return (long) millis;
+    }
     long ofPriority =
         waiting.countInTime(priority, priority, limits.expectedMillis(1), now) + ownPending;
-    // More urgent pending pieces are among the expected arrivals and count only once.
-    return (long)
-        Math.min(
-            Math.max(knownMillis, expectedMillis),
-            untilGuaranteedMillis(ofPriority, priority, limits, now));
+    return (long) Math.min(millis, untilGuaranteedMillis(ofPriority, priority, limits, now));
   }
 
   /** Returns the time after which a priority's guarantee covers one piece more than the given. */
@@ -146,6 +147,9 @@
    */
   private double withOvertaking(
       double workMillis, int priority, double dueMillis, BatchLimits limits) {
+    if (workMillis == 0) {
+      return 0;
+    }
     List<Overtaking> overtaking = overtaking(priority, dueMillis, limits);
     double millis = workMillis;
     for (int iteration = 0; iteration < MAX_ITERATIONS; iteration++) {
