--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of deploy/system.toml and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-exec java -Xmx512m -cp "$root/review/target" EarlyAnswerCut "$here" "$root" streams
+exec java -Xmx512m -cp "$root/review/target" SilentStoreLeaving "$here" "$root"
--- a/review/standin/Box.java
+++ b/review/standin/Box.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,8 @@
 
 /** One process of the system, started with the command of the deploy file. */
 final class Box {
+  private static final int PORTS = 5;
+
   private final Path root;
   private final Path settings;
   private final Path log;
@@ -41,10 +44,11 @@
   static List<Box> prepare(Path root, Path work, List<String> zones, String store)
       throws IOException {
     int count = zones.size();
+    int[] all = freePorts(PORTS * count);
     List<int[]> ports = new ArrayList<>();
     List<String> seeds = new ArrayList<>();
     for (int number = 0; number < count; number++) {
-      int[] own = freePorts(5);
+      int[] own = Arrays.copyOfRange(all, PORTS * number, PORTS * (number + 1));
       ports.add(own);
       seeds.add("\"127.0.0.1:" + own[2] + "\"");
     }
@@ -175,7 +179,7 @@
   }
 
   /** Free ports below the range of outgoing connections, so that none takes them meanwhile. */
-  static int[] freePorts(int count) throws IOException {
+  private static int[] freePorts(int count) throws IOException {
     int[] ports = new int[count];
     int first = 12_000 + (int) (Math.random() * 18_000);
     for (int found = 0; found < count; first++) {
--- a/review/standin/EarlyAnswerCut.java
+++ b/review/standin/EarlyAnswerCut.java
@@ -14,26 +14,24 @@
 
 /**
  * An engine crashes (SIGKILL) in the middle of an answer without a length that it began before it
- * had read all of the request's body. Rule MIXED: what was cut must not look complete; with a third
- * argument the answers are streams, rule ORDER.
+ * had read all of the request's body. Rule MIXED: what was cut must not look complete; ORDER for the
+ * streams among the answers.
  */
 final class EarlyAnswerCut {
   private static final int ROUNDS = 6;
   private static final int BODY = 4 * 1024 * 1024;
   private static final int DEADLINE_MS = 5_000;
-  private static final String[] ANSWERS = {"/once/book", "/again/look"};
-  private static final String[] STREAMS = {"/stream/text"};
+  private static final String STREAM = "/stream/text";
+  private static final String[] PATHS = {"/once/book", "/again/look", STREAM};
 
   private final Path root;
   private final boolean trouble;
-  private final String[] paths;
   private final List<String> record = new ArrayList<>();
   private final List<Process> engines = new ArrayList<>();
   private List<Box> boxes = List.of();
 
-  private EarlyAnswerCut(Path root, boolean trouble, boolean streams) {
+  private EarlyAnswerCut(Path root, boolean trouble) {
     this.root = root;
-    this.paths = streams ? STREAMS : ANSWERS;
     this.trouble = trouble;
   }
 
@@ -41,7 +39,7 @@
     Path folder = Path.of(arguments[0]).toAbsolutePath();
     Path root = Path.of(arguments[1]).toAbsolutePath();
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    EarlyAnswerCut test = new EarlyAnswerCut(root, trouble, arguments.length > 2);
+    EarlyAnswerCut test = new EarlyAnswerCut(root, trouble);
     int result = 2;
     Path work = Work.folder();
     try {
@@ -90,7 +88,7 @@
     store.put("servers", engineId, Setup.entry("127.0.0.1:" + said.readLine(), "ready", 1));
     Thread.sleep(1_500);
     String id = "9c41d07be2a3" + String.format("%04x", round);
-    String path = paths[round % paths.length];
+    String path = PATHS[round % PATHS.length];
     Box box = boxes.get(round % boxes.size());
     byte[] body = new byte[BODY];
     Arrays.fill(body, (byte) 'b');
@@ -111,7 +109,7 @@
         engine.destroyForcibly();
         record.add("engine " + engineId + " killed");
       }
-      held = judge(id, Http.readAnswer(socket.getInputStream()));
+      held = judge(id, path, Http.readAnswer(socket.getInputStream()));
     } catch (IOException e) {
       record.add("client: connection ended, " + e.getMessage());
       held = true;
@@ -122,12 +120,12 @@
     return held;
   }
 
-  private boolean judge(String id, Http.Answer answer) {
+  private boolean judge(String id, String path, Http.Answer answer) {
     if (answer == null) {
       record.add("client: closed without an answer");
       return trouble;
     }
-    String whole = EarlyEngine.body(id, paths == STREAMS);
+    String whole = EarlyEngine.body(id, path.equals(STREAM));
     boolean same = answer.text().equals(whole);
     int status = answer.head().status();
     record.add("client: " + answer.head().line() + ", X-Response-Stamp "
--- a/review/standin/EngineFarm.java
+++ b/review/standin/EngineFarm.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Many sound engines of one service in this process, each on its own loopback port. */
 final class EngineFarm {
@@ -19,6 +21,7 @@
   private static final int STACK = 128 * 1024;
 
   private final List<ServerSocket> listeners = new ArrayList<>();
+  private final Set<Integer> leaving = ConcurrentHashMap.newKeySet();
   private final long workMs;
   private final Listener listener;
 
@@ -42,6 +45,16 @@
     return "127.0.0.1:" + listeners.get(engine).getLocalPort();
   }
 
+  /** Lets an engine say "Connection: close" in its answers from now on, as one that is leaving. */
+  void leave(int engine) {
+    leaving.add(engine);
+  }
+
+  /** Ends an engine: it accepts no connection any more. */
+  void end(int engine) throws IOException {
+    listeners.get(engine).close();
+  }
+
   private static void start(Runnable task) {
     Thread thread = new Thread(null, task, "engine", STACK);
     thread.setDaemon(true);
@@ -75,13 +88,18 @@
         }
         String body = own ? "answer to " + id : "";
         String status = own ? "200 OK" : "421 Misdirected Request";
+        boolean last = leaving.contains(engine);
         out.write(
             ("HTTP/1.1 " + status + "\r\nX-Request-Id: " + id + "\r\n"
                     + (own ? "X-Response-Stamp: 3e1b.07." + id + "\r\n" : "X-Not-Run: 1\r\n")
-                    + "Keep-Alive: timeout=3\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                    + (last ? "Connection: close\r\n" : "Keep-Alive: timeout=3\r\n")
+                    + "Content-Length: " + body.length() + "\r\n\r\n"
                     + body)
                 .getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
+        if (last) {
+          return;
+        }
       }
     } catch (IOException | InterruptedException e) {
       // the connection is gone
