Fix answers without a length given out as complete after a reset

Cause: Netty's decoder completes an answer without a length at any end of the channel. An end counted as a reset only where exceptionCaught came first, which a read causes. A write that meets the reset, as while a long body is being sent, fails its future and closes the channel without an exception.

Change: connections to upstreams allow half-closure. Only an orderly close reaches the decoder while the channel is active; an answer without a length is complete only then, and only if its request was written. Tunnels pass on the end of the upstream's connection under the same condition.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/DirectDialer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/DirectDialer.java
@@ -17,7 +17,9 @@
 
 /**
  * Opens TCP connections to upstreams. Its channels do not read automatically, so that handlers can
- * be added first. Confined to the event loop.
+ * be added first, and allow half-closure: an orderly close of the peer is a {@code
+ * ChannelInputShutdownEvent}, after which a handler must close the channel; a reset is not.
+ * Confined to the event loop.
  *
  * @since 0.3
  */
@@ -36,6 +38,7 @@
             .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(new WithoutHandlers());
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -16,8 +17,6 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.gradeledge.time.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
@@ -29,8 +28,6 @@
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-  private static final String KEEP_ALIVE = "Keep-Alive";
-  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
   private static final long DEFAULT_KEEP_ALIVE_MILLIS = 3_000;
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
   private static final int MIN_FINAL_STATUS = 200;
@@ -47,7 +44,7 @@
   private long skippedBytes;
   private boolean headReceived;
   private boolean reusable = true;
-  private boolean connectionReset;
+  private ResponseFraming framing = ResponseFraming.DELIMITED;
   private BooleanSupplier usable = () -> true;
   private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
   private final MonotonicClock clock;
@@ -157,8 +154,9 @@
       reusable = false;
       return;
     }
-    reusable &= HttpUtil.isKeepAlive(response) && isFramed(response);
-    updateKeepAlive(response.headers().get(KEEP_ALIVE));
+    framing = ResponseFraming.of(response);
+    reusable &= HttpUtil.isKeepAlive(response) && framing.allowsReuse();
+    keepAliveMillis = KeepAliveHeader.timeoutMillis(response).orElse(keepAliveMillis);
     onHead.accept(new ResponseHead(current.request(), sentAtNanos, response));
     current.notifyHead(response.status().code(), response.headers());
   }
@@ -174,8 +172,7 @@
       }
       return;
     }
-    if (connectionReset && last) {
-      // Netty also completes a response without a length when the connection is reset.
+    if (last && framing == ResponseFraming.CONNECTION && !isClosedInOrder()) {
       fail(CallFailure.BROKEN);
       return;
     }
@@ -190,6 +187,20 @@
     }
   }
 
+  /**
+   * Returns whether the upstream ended the connection by an orderly close, rather than by a reset,
+   * after the whole request was written.
+   *
+   * <p>The decoder ends a response without a length at any end of the connection. Only an orderly
+   * close leaves the channel active, since it allows half-closure.
+   */
+  private boolean isClosedInOrder() {
+    return context != null
+        && context.channel().isActive()
+        && writeFuture != null
+        && writeFuture.isSuccess();
+  }
+
   private static boolean belongsToOtherCall(CallInProgress current, HttpResponse response) {
     return current
         .request()
@@ -198,19 +209,6 @@
         .orElse(false);
   }
 
-  private static boolean isFramed(HttpResponse response) {
-    return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
-  }
-
-  private void updateKeepAlive(@Nullable String keepAlive) {
-    if (keepAlive != null) {
-      Matcher seconds = KEEP_ALIVE_TIMEOUT.matcher(keepAlive);
-      if (seconds.find()) {
-        keepAliveMillis = Long.parseLong(seconds.group(1)) * 1_000;
-      }
-    }
-  }
-
   /** Returns the connection to the pool after all data received with the response is processed. */
   private void finishCall() {
     idleSinceNanos = clock.nanos();
@@ -228,9 +226,15 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext channel, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      fail(CallFailure.BROKEN);
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
-    connectionReset = true;
     fail(CallFailure.BROKEN);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/tunnel/TunnelFrames.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/tunnel/TunnelFrames.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.io.IOException;
 
@@ -37,7 +38,10 @@
     return context.alloc().buffer(LENGTH_BYTES).writeInt(0);
   }
 
-  /** Reports a tunnel that ends without the end of the upstream's connection as an error. */
+  /**
+   * Reports the orderly end of the upstream's connection as the end of the tunnel's input, and any
+   * other end of the tunnel as an error.
+   */
   private static final class EndHandler extends ChannelInboundHandlerAdapter {
 
     private boolean ended;
@@ -51,9 +55,19 @@
       }
       frame.release();
       ended = true;
+      context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
       context.close();
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        context.close();
+      } else {
+        context.fireUserEventTriggered(event);
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (!ended) {
--- a/gradeledge-core/src/main/java/org/gradeledge/tunnel/TunnelSplice.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/tunnel/TunnelSplice.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
@@ -19,8 +21,9 @@
 
   /** Starts to forward between the channel of another box and that of an upstream. */
   static void join(Channel box, Channel upstream) {
-    box.pipeline().addLast(new BoxHandler(upstream));
-    upstream.pipeline().addLast(new UpstreamHandler(box));
+    BoxHandler boxHandler = new BoxHandler(upstream);
+    box.pipeline().addLast(boxHandler);
+    upstream.pipeline().addLast(new UpstreamHandler(box, boxHandler));
     box.closeFuture().addListener(closed -> upstream.close());
     if (!box.isActive()) {
       upstream.close();
@@ -44,14 +47,20 @@
   private static final class BoxHandler extends ChannelInboundHandlerAdapter {
 
     private final Channel upstream;
+    private @Nullable ChannelFuture lastWrite;
 
     BoxHandler(Channel upstream) {
       this.upstream = upstream;
     }
 
+    /** Returns whether all data received so far was written to the upstream. */
+    boolean isWritten() {
+      return lastWrite == null || lastWrite.isSuccess();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      upstream.writeAndFlush(message).addListener(readNext(context.channel()));
+      lastWrite = upstream.writeAndFlush(message).addListener(readNext(context.channel()));
     }
 
     @Override
@@ -61,14 +70,19 @@
     }
   }
 
-  /** Forwards what the upstream sends, in frames. */
+  /**
+   * Forwards what the upstream sends, in frames. The end of its connection is forwarded only if it
+   * was orderly and no data was left to be written to it.
+   */
   private static final class UpstreamHandler extends ChannelInboundHandlerAdapter {
 
     private final Channel box;
-    private boolean reset;
+    private final BoxHandler boxHandler;
+    private boolean ended;
 
-    UpstreamHandler(Channel box) {
+    UpstreamHandler(Channel box, BoxHandler boxHandler) {
       this.box = box;
+      this.boxHandler = boxHandler;
     }
 
     @Override
@@ -77,19 +91,28 @@
           .addListener(readNext(context.channel()));
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (!(event instanceof ChannelInputShutdownEvent)) {
+        return;
+      }
+      if (boxHandler.isWritten()) {
+        ended = true;
+        box.writeAndFlush(TunnelFrames.encodeEnd(context)).addListener(ChannelFutureListener.CLOSE);
+      }
+      context.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      if (reset) {
+      if (!ended) {
         box.close();
-      } else {
-        box.writeAndFlush(TunnelFrames.encodeEnd(context)).addListener(ChannelFutureListener.CLOSE);
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       Logger.debug(cause, "Upstream reset the connection of a tunnel");
-      reset = true;
       context.close();
     }
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/tunnel/TunnelTests.java
@@ -9,12 +9,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -40,6 +42,9 @@
   private static final String BOX = "127.0.0.1:1";
   private static final int LARGE_BYTES = 3_000_000;
 
+  /** More than the socket buffers on the way hold. */
+  private static final int UNREAD_BYTES = 64 * 1024 * 1024;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final DirectDialer dialer = new DirectDialer(loop);
@@ -105,7 +110,8 @@
     accepted.getOutputStream().write("answer".getBytes(StandardCharsets.US_ASCII));
     accepted.close();
 
-    assertThat(List.of(received.take(), received.take())).containsExactly("answer", "closed");
+    assertThat(List.of(received.take(), received.take(), received.take()))
+        .containsExactly("answer", "end", "closed");
   }
 
   // Guards against an answer without a length that looks complete although it was reset.
@@ -119,6 +125,35 @@
     assertThat(List.of(received.take(), received.take())).containsExactly("error", "closed");
   }
 
+  // Guards against a reset that the box in between meets while it writes, and takes for the end.
+  @Test
+  void resetWhileARequestIsForwardedIsReportedAsError() throws Exception {
+    Channel channel = connect();
+    Socket accepted = upstream.accept();
+    channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[UNREAD_BYTES]));
+    accepted.getOutputStream().write("answer".getBytes(StandardCharsets.US_ASCII));
+    assertThat(received.take()).isEqualTo("answer");
+
+    accepted.setSoLinger(true, 0);
+    accepted.close();
+
+    assertThat(takeUntilClosed()).doesNotContain("end");
+  }
+
+  // Guards against the end of an upstream that did not receive the whole request.
+  @Test
+  void endOfUpstreamConnectionIsAnErrorWhileARequestIsForwarded() throws Exception {
+    Channel channel = connect();
+    Socket accepted = upstream.accept();
+    channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[UNREAD_BYTES]));
+    accepted.getOutputStream().write("answer".getBytes(StandardCharsets.US_ASCII));
+    assertThat(received.take()).isEqualTo("answer");
+
+    accepted.shutdownOutput();
+
+    assertThat(takeUntilClosed()).contains("error").doesNotContain("end");
+  }
+
   // Guards against an upstream that goes on working for a caller that has left.
   @Test
   void closesUpstreamConnectionWhenTunnelIsClosed() throws Exception {
@@ -152,6 +187,14 @@
     }
   }
 
+  private List<String> takeUntilClosed() throws InterruptedException {
+    List<String> events = new ArrayList<>();
+    do {
+      events.add(received.take());
+    } while (!events.contains("closed"));
+    return events;
+  }
+
   private Channel connect() throws Exception {
     CompletableFuture<Channel> connected = new CompletableFuture<>();
     loop.execute(
@@ -179,6 +222,13 @@
       received.add(message.toString(StandardCharsets.US_ASCII));
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        received.add("end");
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       received.add("closed");
