Fix requests that a stopping box takes and cuts when it ends

Cause: a stopping box accepted every request until 0.4 of the grace period and gave up what was left at 0.95, without asking how long a request takes.

Change: from the signal on a request is accepted only if its timeout, or the longest recent duration on its route, ends before the box does; others get 503 at once (OUTLASTS_STOP) and reach another box.

--- a/gradeledge-core/src/main/java/org/gradeledge/node/GracefulShutdown.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/GracefulShutdown.java
@@ -7,30 +7,25 @@
 import org.gradeledge.mesh.BoxMesh;
 import org.gradeledge.relay.RelayHandler;
 import org.gradeledge.relay.RelayServer;
+import org.gradeledge.time.MonotonicClock;
 
 /**
- * Shuts a box down gracefully: reports that it is not ready, keeps serving until the load balancer
- * has reacted, closes idle connections, refuses new requests and waits for requests in flight, also
- * those that other boxes send through this one. The steps are scheduled at shares of the grace
- * period. Confined to the event loop.
+ * Shuts a box down gracefully: reports that it is not ready, accepts only requests that are
+ * expected to end before the box does until the load balancer has reacted, then refuses all new
+ * ones and waits for requests in flight, also those that other boxes send through this one.
+ * Confined to the event loop.
  */
 final class GracefulShutdown {
 
-  private static final double CLOSE_IDLE_AT = 0.3;
-  private static final double REFUSE_AT = 0.4;
-
-  /** Requests that still wait for stage work at this point would not complete in time. */
-  private static final double REFUSE_UNSENT_AT = 0.8;
-
-  private static final double END_AT = 0.95;
   private static final long POLL_INTERVAL_MILLIS = 50;
 
-  private final Duration gracePeriod;
+  private final ShutdownSchedule schedule;
   private final RelayServer server;
   private final RelayHandler handler;
   private final BoxMesh mesh;
   private final UpstreamConnectivity connectivity;
   private final EventLoop loop;
+  private final MonotonicClock clock;
   private final EventLog events;
   private boolean started;
   private boolean refusing;
@@ -42,8 +37,10 @@
       BoxMesh mesh,
       UpstreamConnectivity connectivity,
       EventLoop loop,
+      MonotonicClock clock,
       EventLog events) {
-    this.gracePeriod = gracePeriod;
+    this.schedule = new ShutdownSchedule(gracePeriod);
+    this.clock = clock;
     this.server = server;
     this.handler = handler;
     this.mesh = mesh;
@@ -65,11 +62,12 @@
     mesh.leave();
     connectivity.stopAcceptingTunnels();
     server.closeAfterAnswers();
-    scheduleAt(CLOSE_IDLE_AT, server::closeIdle);
-    scheduleAt(REFUSE_AT, this::refuseRequests);
-    scheduleAt(REFUSE_UNSENT_AT, handler::refuseUnsent);
+    handler.stopAt(clock.nanos() + schedule.end().toNanos());
+    schedule(schedule.closeIdle(), server::closeIdle);
+    schedule(schedule.refuse(), this::refuseRequests);
+    schedule(schedule.refuseUnsent(), handler::refuseUnsent);
     Runnable end = () -> end(onCompletion);
-    scheduleAt(END_AT, end);
+    schedule(schedule.end(), end);
     awaitActiveRequests(end);
   }
 
@@ -93,7 +91,7 @@
     }
   }
 
-  private void scheduleAt(double share, Runnable step) {
-    loop.schedule(step, (long) (gracePeriod.toMillis() * share), TimeUnit.MILLISECONDS);
+  private void schedule(Duration delay, Runnable step) {
+    loop.schedule(step, delay.toMillis(), TimeUnit.MILLISECONDS);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -132,7 +132,7 @@
     clock.onJump(jump -> loop.execute(() -> onClockJump(jump, caller)));
     this.stop =
         new GracefulShutdown(
-            settings.gracePeriod(), server, handler, mesh, connectivity, loop, events);
+            settings.gracePeriod(), server, handler, mesh, connectivity, loop, clock, events);
   }
 
   /**
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
@@ -34,7 +34,7 @@
   static ExchangeContext create(
       RelayServices services,
       AdmittedRequest admitted,
-      FirstEventTimes firstEvents,
+      RouteTimes routeTimes,
       InputReleasePolicy inputRelease,
       DispatchQueue queue,
       CallerResponse response) {
@@ -57,13 +57,13 @@
             clock,
             admitted.priority(),
             candidates.likelyZone(),
-            firstEvents.meanMillis(admitted.route().name()),
+            routeTimes.meanFirstEventMillis(admitted.route().name()),
             timeline);
     return new ExchangeContext(
         services,
         admitted,
         clock,
-        new ExchangeOutcome(services, admitted, clock, firstEvents, timeline, candidates, response),
+        new ExchangeOutcome(services, admitted, clock, routeTimes, timeline, candidates, response),
         candidates,
         plan,
         new RequestInputs(service, plan, inputRelease),
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -24,7 +24,7 @@
   private final RelayRequest request;
   private final RouteDefinition route;
   private final RequestClock clock;
-  private final FirstEventTimes firstEventTimes;
+  private final RouteTimes routeTimes;
   private final StageTimeline timeline;
   private final UpstreamCandidates candidates;
   private final CallerResponse response;
@@ -43,7 +43,7 @@
       RelayServices services,
       AdmittedRequest admitted,
       RequestClock clock,
-      FirstEventTimes firstEvents,
+      RouteTimes routeTimes,
       StageTimeline timeline,
       UpstreamCandidates candidates,
       CallerResponse response) {
@@ -52,7 +52,7 @@
     this.request = admitted.request();
     this.route = admitted.route();
     this.clock = clock;
-    this.firstEventTimes = firstEvents;
+    this.routeTimes = routeTimes;
     this.timeline = timeline;
     this.candidates = candidates;
     this.response = response;
@@ -121,7 +121,7 @@
 
   void beginStream(int status, HttpHeaders headers) {
     firstEventMillis = clock.elapsedMillis();
-    firstEventTimes.observe(route.name(), firstEventMillis - Math.max(0, stagesMillis));
+    routeTimes.observeFirstEvent(route.name(), firstEventMillis - Math.max(0, stagesMillis));
     response.beginStream(status, headers);
   }
 
@@ -171,6 +171,9 @@
 
   private void finish(String outcome, int status, AnswerEnd end) {
     finished = true;
+    if (end == AnswerEnd.COMPLETE) {
+      routeTimes.observeWhole(route.name(), clock.elapsedMillis());
+    }
     services.metrics().requestEnded(route.repeatability(), outcome, clock.elapsedMillis());
     services.metrics().answerEnded(end);
     services.metrics().routeResult(route.name(), result(outcome));
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
@@ -21,6 +21,8 @@
   BODY_TOO_LARGE(413, false),
   /** The box is stopping. */
   STOPPING(503, true),
+  /** The box is stopping and may end before the request does. */
+  OUTLASTS_STOP(503, true),
   /** No upstream of the service accepts new requests. */
   NO_UPSTREAM(503, true),
   /** No upstream of the software version that began the stream accepts new requests. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -1,9 +1,9 @@
 package org.gradeledge.relay;
 
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.gradeledge.deployment.ClientAccount;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.RouteDefinition;
@@ -27,24 +27,38 @@
   private static final ActiveRequest FINISHED = () -> {};
   private static final long RETRY_AFTER_MILLIS = 250;
 
+  /** Other boxes may accept the request at once. */
+  private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
+
   private final RelayServices services;
-  private final FirstEventTimes firstEventTimes;
+  private final RouteTimes routeTimes;
+  private final StopAdmission stopAdmission;
   private final InputReleasePolicy inputReleasePolicy;
   private final DispatchQueue queue;
   private final ResumptionResolver resumptions;
-  private final Set<RelayExchange> inFlight = new HashSet<>();
+  private final Map<RelayExchange, AdmittedRequest> inFlight = new LinkedHashMap<>();
   private boolean stopping;
 
   /** Creates the handler. */
   public RelayHandler(RelayServices services) {
     this.services = services;
-    this.firstEventTimes = new FirstEventTimes(services.clock());
+    this.routeTimes = new RouteTimes(services.clock());
+    this.stopAdmission = new StopAdmission(services.clock(), routeTimes);
     this.inputReleasePolicy = new InputReleasePolicy(services.eventLoop(), services.clock());
     this.queue = new DispatchQueue(services.eventLoop());
     this.resumptions = new ResumptionResolver(services);
     services.quarantine().onVerdict(verdict -> rejectQuarantined());
   }
 
+  /**
+   * Accepts from now on only requests that are expected to end before a time.
+   *
+   * @param nanos time on the monotonic clock at which requests in flight are given up
+   */
+  public void stopAt(long nanos) {
+    stopAdmission.stopAt(nanos);
+  }
+
   /** Refuses all requests from now on. */
   public void stop() {
     stopping = true;
@@ -52,17 +66,17 @@
 
   /** Refuses the requests in flight that have not been sent to an upstream. */
   public void refuseUnsent() {
-    List.copyOf(inFlight).forEach(RelayExchange::refuseUnsent);
+    List.copyOf(inFlight.keySet()).forEach(RelayExchange::refuseUnsent);
   }
 
   /** Records the requests that are still in flight when the process ends. */
   public void processEnds() {
-    List.copyOf(inFlight).forEach(RelayExchange::processEnds);
+    List.copyOf(inFlight.keySet()).forEach(RelayExchange::processEnds);
   }
 
   /** Fails the requests that timed out while the machine was suspended. */
   public void expireOverdue() {
-    List.copyOf(inFlight).forEach(RelayExchange::expireOverdue);
+    List.copyOf(inFlight.keySet()).forEach(RelayExchange::expireOverdue);
   }
 
   /** Processes a request. Calls the response on the event loop, possibly before returning. */
@@ -94,6 +108,9 @@
     AdmittedRequest admitted =
         new AdmittedRequest(
             request, deployment, route.get(), account, Optional.empty(), services.clock().nanos());
+    if (stopAdmission.mayOutlastStop(admitted, inFlight.values())) {
+      return refuse(request, Refusal.OUTLASTS_STOP, response);
+    }
     if (admitted.resumesUnnamedStream()) {
       resumptions.countUnnamed();
     }
@@ -115,7 +132,7 @@
         result ->
             pending.start(
                 () ->
-                    stopping
+                    stopping || stopAdmission.mayOutlastStop(admitted, inFlight.values())
                         ? refuse(request, Refusal.STOPPING, response)
                         : result.fold(
                             refusal -> refuse(request, refusal, response),
@@ -127,15 +144,15 @@
     RelayExchange exchange =
         new RelayExchange(
             ExchangeContext.create(
-                services, admitted, firstEventTimes, inputReleasePolicy, queue, response),
+                services, admitted, routeTimes, inputReleasePolicy, queue, response),
             inFlight::remove);
-    inFlight.add(exchange);
+    inFlight.put(exchange, admitted);
     exchange.start();
     return exchange::callerDisconnected;
   }
 
   private void rejectQuarantined() {
-    List.copyOf(inFlight).forEach(RelayExchange::rejectIfQuarantined);
+    List.copyOf(inFlight.keySet()).forEach(RelayExchange::rejectIfQuarantined);
   }
 
   private ActiveRequest refuse(RelayRequest request, Refusal refusal, CallerResponse response) {
@@ -148,7 +165,8 @@
         .with("why", refusal.name())
         .with("revision", services.deployments().revision())
         .write();
-    response.refuse(refusal, RETRY_AFTER_MILLIS);
+    boolean stops = refusal == Refusal.STOPPING || refusal == Refusal.OUTLASTS_STOP;
+    response.refuse(refusal, stops ? STOPPING_RETRY_AFTER_MILLIS : RETRY_AFTER_MILLIS);
     return FINISHED;
   }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -215,6 +215,11 @@
     runPendingTasks();
   }
 
+  /** Begins a stop that gives up requests in flight after a time. */
+  void stopIn(long millis) {
+    handler.stopAt(clock.nanos() + TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
   RelayHandler handler() {
     return handler;
   }
