--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -122,7 +122,12 @@
 
   /** Returns whether a box has logged an event. */
   boolean hasLogged(int box, String event) {
-    return countEvents(logs.get(box), event) > 0;
+    return countLogged(box, event) > 0;
+  }
+
+  /** Returns how often a box has logged an event. */
+  long countLogged(int box, String event) {
+    return countEvents(logs.get(box), event);
   }
 
   /** Returns the logs of all boxes, for the message of a failed assertion. */
