Resume streams after the loss of all boxes by origins that the store keeps

Cause: which software version began a stream was known to four boxes, in memory.

Change: each box sends its records to one box, which archives them in the platform's table stream-origins in batches (at most 2.5 writing calls a second at any number of boxes). A box asks it where no box knows a stream; it then reads the table, at most once a second. A row holds records of events that were forwarded and is never changed, so that it can never name a wrong version. The store stand-in keeps values as bytes, which it had decoded as text.

--- a/gradeledge-core/src/main/java/org/gradeledge/follow/WritableTable.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/follow/WritableTable.java
@@ -16,6 +16,12 @@
    */
   Mono<Boolean> create(TableRow row);
 
+  /**
+   * Writes rows and removes others in one transaction. If the call fails without an answer, it may
+   * have been executed or be executed later.
+   */
+  Mono<Void> update(List<TableRow> rows, List<String> removedKeys);
+
   /** Removes the rows with the given keys, if they exist. */
   Mono<Void> remove(List<String> keys);
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/BoxMesh.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import org.gradeledge.event.EventLog;
 import org.gradeledge.limit.BoxRank;
 import org.gradeledge.peer.PeerNetwork;
+import org.gradeledge.resumption.OriginArchive;
 import org.gradeledge.resumption.OriginReplicas;
 import org.gradeledge.resumption.StreamOrigins;
 import org.gradeledge.time.MonotonicClock;
@@ -59,7 +61,7 @@
   private long latestConfiguration = -1;
   private long latestUpstreams = -1;
   private boolean leaving;
-  private Runnable leaveAction = () -> {};
+  private final List<Runnable> leaveActions = new ArrayList<>();
 
   /**
    * Creates the mesh without starting it.
@@ -135,10 +137,18 @@
   public OriginReplicas originReplicas(StreamOrigins origins) {
     OriginExchange exchange = new OriginExchange(self, peers, connections, loop, origins);
     exchange.registerHandlers(network);
-    leaveAction = exchange::handOver;
+    leaveActions.add(exchange::handOver);
     return exchange;
   }
 
+  /** Returns an archive to which one box writes the origins of the streams of all boxes. */
+  public OriginArchive originArchive(OriginArchive archive) {
+    ArchivingBox archivingBox = new ArchivingBox(self, peers, connections, loop, archive);
+    archivingBox.registerHandlers(network);
+    leaveActions.add(archivingBox::flush);
+    return archivingBox;
+  }
+
   /** Starts listening and sending heartbeats. */
   public Mono<? extends DisposableServer> start(InetSocketAddress listen) {
     network.register(
@@ -157,7 +167,7 @@
     leaving = true;
     peers.leave();
     sender.sendHeartbeat();
-    leaveAction.run();
+    leaveActions.forEach(Runnable::run);
   }
 
   /** Announces the current state to the other boxes without waiting for the next heartbeat. */
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshMessages.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/MeshMessages.java
@@ -40,6 +40,12 @@
   static final PeerMessageType<OriginQuery> STREAM_ORIGIN_QUERY =
       new PeerMessageType<>("origin-query", OriginQuery.class);
 
+  static final PeerMessageType<OriginRecords> ARCHIVE_ORIGINS =
+      new PeerMessageType<>("archive-origins", OriginRecords.class);
+
+  static final PeerMessageType<OriginQuery> ARCHIVED_ORIGIN_QUERY =
+      new PeerMessageType<>("archived-origin-query", OriginQuery.class);
+
   private MeshMessages() {}
 
   /** Registers the formats of these messages and their responses. */
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayAdapters.java
@@ -21,6 +21,7 @@
  * @param operatorTable table with the current configuration document and evacuations
  * @param upstreamTable table with the list of upstreams
  * @param verdictTable table with the quarantined requests, specific to the deployment
+ * @param originTable table with the origins of streams, specific to the deployment
  * @since 0.2
  */
 public record RelayAdapters(
@@ -33,4 +34,5 @@
     OperatorRowReader operatorRowReader,
     RevisionedTable operatorTable,
     RevisionedTable upstreamTable,
-    WritableTable verdictTable) {}
+    WritableTable verdictTable,
+    WritableTable originTable) {}
--- a/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/RelayBox.java
@@ -121,7 +121,7 @@
             new LivenessChecker(caller, upstreams::hasLeft),
             quarantine,
             verdicts,
-            newStreamOrigins(clock),
+            newStreamOrigins(adapters, clock),
             adapters.relayProtocol(),
             stageWork,
             metrics,
@@ -177,10 +177,13 @@
         loads, new LeastLoadedChooser(loads, new Random()), deployedServices::kvCacheTokens);
   }
 
-  private StreamOriginDirectory newStreamOrigins(MonotonicClock clock) {
+  private StreamOriginDirectory newStreamOrigins(RelayAdapters adapters, MonotonicClock clock) {
     StreamOrigins origins = new StreamOrigins(clock);
     metrics.registerStreamOrigins(origins::size, origins::evictedCount);
-    return new StreamOriginDirectory(origins, mesh.originReplicas(origins));
+    StreamOriginArchive archive =
+        new StreamOriginArchive(peerName(settings), adapters.originTable(), loop, clock, events);
+    return new StreamOriginDirectory(
+        origins, mesh.originReplicas(origins), mesh.originArchive(archive));
   }
 
   private QuarantineVerdictStore newVerdictStore(Quarantine quarantine, RelayAdapters adapters) {
--- a/gradeledge-core/src/main/java/org/gradeledge/resumption/OriginLookup.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/resumption/OriginLookup.java
@@ -19,6 +19,8 @@
     OWN_RECORD,
     /** Another box knew it. */
     REPLICA,
+    /** It was found in the archive that outlasts all boxes. */
+    ARCHIVE,
     /** No box that was asked knows the stream. */
     UNKNOWN,
     /** There are records of several origins, so that none of them counts. */
--- a/gradeledge-core/src/main/java/org/gradeledge/resumption/StreamOrigins.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/resumption/StreamOrigins.java
@@ -51,12 +51,19 @@
   }
 
   private final MonotonicClock clock;
+  private final int maxEntries;
   private final Map<Long, Entry> entries = new LinkedHashMap<>();
   private long evicted;
 
-  /** Creates an empty store. */
+  /** Creates an empty store of the default size. */
   public StreamOrigins(MonotonicClock clock) {
+    this(clock, MAX_ENTRIES);
+  }
+
+  /** Creates an empty store for a number of streams. */
+  public StreamOrigins(MonotonicClock clock, int maxEntries) {
     this.clock = clock;
+    this.maxEntries = maxEntries;
   }
 
   /** Adds a record. Records of the same stream with different origins are all kept. */
@@ -81,7 +88,7 @@
     Iterator<Entry> oldest = entries.values().iterator();
     while (oldest.hasNext()) {
       boolean expired = oldest.next().isExpired(now);
-      if (!expired && entries.size() <= MAX_ENTRIES) {
+      if (!expired && entries.size() <= maxEntries) {
         return;
       }
       oldest.remove();
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/InProcessBoxes.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/InProcessBoxes.java
@@ -25,6 +25,7 @@
 import org.gradeledge.peer.PeerSecret;
 import org.gradeledge.peer.PeerTransport;
 import org.gradeledge.quarantine.Quarantine;
+import org.gradeledge.resumption.FakeOriginArchive;
 import org.gradeledge.resumption.StreamOriginDirectory;
 import org.gradeledge.resumption.StreamOrigins;
 import org.gradeledge.selection.UpstreamLoads;
@@ -53,6 +54,7 @@
   private final RecordedEvents configurationEvents = new RecordedEvents();
   private final List<Quarantine> quarantines = new ArrayList<>();
   private final List<UpstreamLimits> upstreamLimits = new ArrayList<>();
+  private final FakeOriginArchive archive = new FakeOriginArchive();
   private final List<StreamOrigins> streamOrigins = new ArrayList<>();
   private final List<StreamOriginDirectory> originDirectories = new ArrayList<>();
   private final List<DisposableServer> servers = new ArrayList<>();
@@ -66,6 +68,10 @@
     return networks;
   }
 
+  FakeOriginArchive archive() {
+    return archive;
+  }
+
   /** Returns the upstream registries of the boxes, in start order. */
   List<UpstreamRegistry> registries() {
     return registries;
@@ -182,7 +188,9 @@
         new BoxMesh(self, zone, 1, seeds, network, loop, state, clock, EventLogs.silent());
     StreamOrigins origins = new StreamOrigins(clock);
     streamOrigins.add(origins);
-    originDirectories.add(new StreamOriginDirectory(origins, mesh.originReplicas(origins)));
+    originDirectories.add(
+        new StreamOriginDirectory(
+            origins, mesh.originReplicas(origins), mesh.originArchive(archive)));
     return mesh;
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/mesh/OriginExchangeTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/mesh/OriginExchangeTests.java
@@ -82,6 +82,26 @@
     }
   }
 
+  // Guards against streams that nobody knows once all boxes were lost at the same time.
+  @ParameterizedTest
+  @ValueSource(ints = {1, 8, 61})
+  void findsStreamsAfterAllBoxesWereLost(int count) throws Exception {
+    startBoxes(count);
+    recordStreams(count);
+    boxes.await(() -> boxes.archive().size() == STREAMS);
+    for (int box = 0; box < count; box++) {
+      boxes.stopBox(0);
+    }
+    startBoxes(count);
+
+    for (int stream = 0; stream < STREAMS; stream++) {
+      OriginLookup lookup = find(stream % count, stream);
+      assertThat(lookup.originHash()).contains(origin(stream).hash());
+      assertThat(lookup.outcome()).isEqualTo(OriginLookup.Outcome.ARCHIVE);
+    }
+    assertThat(find(0, STREAMS).originHash()).isEmpty();
+  }
+
   // Guards against asking only boxes that joined after the stream had begun.
   @Test
   void findsStreamsAtABoxThatJoinedLater() throws Exception {
--- a/gradeledge-core/src/test/java/org/gradeledge/node/FakeWritableTable.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/node/FakeWritableTable.java
@@ -48,6 +48,20 @@
         });
   }
 
+  @Override
+  public Mono<Void> update(List<TableRow> newRows, List<String> removedKeys) {
+    return Mono.fromCallable(
+            () -> {
+              if (unavailable) {
+                throw new IOException("the table is unavailable");
+              }
+              newRows.forEach(row -> rows.put(row.key(), row));
+              removedKeys.forEach(rows::remove);
+              return revision++;
+            })
+        .then();
+  }
+
   @Override
   public Mono<Void> remove(List<String> keys) {
     return Mono.fromCallable(
@@ -64,7 +78,13 @@
 
   @Override
   public Mono<TableContent> read() {
-    return Mono.fromSupplier(this::content);
+    return Mono.fromCallable(
+        () -> {
+          if (unavailable) {
+            throw new IOException("the table is unavailable");
+          }
+          return content();
+        });
   }
 
   @Override
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/SimulatedRelay.java
@@ -31,6 +31,7 @@
 import org.gradeledge.quarantine.Quarantine;
 import org.gradeledge.quarantine.RequestFingerprint;
 import org.gradeledge.quarantine.RequestIdentity;
+import org.gradeledge.resumption.FakeOriginArchive;
 import org.gradeledge.resumption.FakeOriginReplicas;
 import org.gradeledge.resumption.StreamOriginDirectory;
 import org.gradeledge.resumption.StreamOrigins;
@@ -116,7 +117,7 @@
             new LivenessChecker(upstreamCaller, upstreams::hasLeft),
             quarantine,
             trials,
-            new StreamOriginDirectory(new StreamOrigins(clock), replicas),
+            new StreamOriginDirectory(new StreamOrigins(clock), replicas, new FakeOriginArchive()),
             new PassThroughProtocol(),
             stageWorkClient,
             new RelayMetrics(),
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/StoreStandIn.java
@@ -37,9 +37,7 @@
   private static final int GONE = 410;
   private static final int PRECONDITION_FAILED = 412;
 
-  private record Row(String key, byte[] value, long revision, boolean removed) {}
-
-  private final Map<String, Map<String, Row>> tables = new TreeMap<>();
+  private final Map<String, Map<String, StoredRow>> tables = new TreeMap<>();
   private final StandInServer server;
   private final List<StandInServer> views = new CopyOnWriteArrayList<>();
   private volatile StoreFault fault = StoreFault.NONE;
@@ -88,7 +86,7 @@
   /** Content of the store at a point in time. */
   public static final class Snapshot {
 
-    private final Map<String, Map<String, Row>> tables = new TreeMap<>();
+    private final Map<String, Map<String, StoredRow>> tables = new TreeMap<>();
     private final long revision;
 
     private Snapshot(StoreStandIn store) {
@@ -111,9 +109,13 @@
   }
 
   /** Writes a row. */
-  public synchronized void put(String table, String key, String json) {
+  public void put(String table, String key, String json) {
+    put(table, key, json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private synchronized void put(String table, String key, byte[] value) {
     revision++;
-    Row row = new Row(key, json.getBytes(StandardCharsets.UTF_8), revision, false);
+    StoredRow row = new StoredRow(key, value, revision, false);
     tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, row);
   }
 
@@ -121,16 +123,23 @@
   public synchronized List<String> keys(String table) {
     return tables.getOrDefault(table, Map.of()).values().stream()
         .filter(row -> !row.removed())
-        .map(Row::key)
+        .map(StoredRow::key)
         .toList();
   }
 
+  /** Returns the size of the values of a table. */
+  public synchronized int valueBytes(String table) {
+    return tables.getOrDefault(table, Map.of()).values().stream()
+        .mapToInt(row -> row.value().length)
+        .sum();
+  }
+
   /** Removes a row. */
   public synchronized void remove(String table, String key) {
     revision++;
     tables
         .computeIfAbsent(table, name -> new TreeMap<>())
-        .put(key, new Row(key, new byte[0], revision, true));
+        .put(key, new StoredRow(key, new byte[0], revision, true));
   }
 
   private Publisher<Void> get(
@@ -202,7 +211,7 @@
     return true;
   }
 
-  private Optional<Row> find(JsonNode row) {
+  private Optional<StoredRow> find(JsonNode row) {
     return Optional.ofNullable(tables.getOrDefault(tableOf(row), Map.of()).get(keyOf(row)));
   }
 
@@ -214,8 +223,8 @@
     return row.path("private_key").asText();
   }
 
-  private static String decodeBase64(String value) {
-    return new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
+  private static byte[] decodeBase64(String value) {
+    return Base64.getDecoder().decode(value);
   }
 
   private Publisher<Void> replyUnlessFaulty(
@@ -251,22 +260,12 @@
     ArrayNode array = result.putArray("rows");
     tables.getOrDefault(table, Map.of()).values().stream()
         .filter(row -> row.revision() > afterRevision && (includeRemoved || !row.removed()))
-        .sorted(Comparator.comparingLong(Row::revision))
-        .forEach(row -> put(array.addObject(), table, row, rewrite));
+        .sorted(Comparator.comparingLong(StoredRow::revision))
+        .forEach(row -> row.writeTo(array.addObject(), table, rewrite));
     result.put("more", false).put("ver", revision);
     return result;
   }
 
-  private static void put(ObjectNode object, String table, Row row, UnaryOperator<String> rewrite) {
-    String text = rewrite.apply(new String(row.value(), StandardCharsets.UTF_8));
-    byte[] value = text.getBytes(StandardCharsets.UTF_8);
-    object.put("table", table).put("part", "").put("private_key", row.key());
-    object.put("value", Base64.getEncoder().encodeToString(value)).put("ver", row.revision());
-    if (row.removed()) {
-      object.put("gone", true);
-    }
-  }
-
   private static String parameter(QueryStringDecoder query, String name) {
     return query.parameters().getOrDefault(name, List.of("")).get(0);
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
@@ -17,6 +17,9 @@
   private static final int STREAMS = 24;
   private static final String PATH = "/resume/x";
 
+  /** Size of the record of a stream in the store. */
+  private static final int RECORD_BYTES = 20;
+
   private final Fleet fleet = new Fleet();
   private final List<FleetEngine> engines = new ArrayList<>();
 
@@ -70,6 +73,23 @@
     assertThat(callers).allMatch(StreamCaller::isComplete);
   }
 
+  // Guards against refusing, or mixing, the streams from before a loss of all boxes.
+  @Test
+  void resumesStreamsAfterAllBoxesWereKilled() throws Exception {
+    startBoxes("v1", "v1", "v2", "v2");
+    List<StreamCaller> callers = beginInterruptedStreams();
+    Fleet.await(() -> fleet.store().valueBytes("stream-origins") >= STREAMS * RECORD_BYTES);
+    fleet.killAllBoxes();
+    fleet.startBoxes(BOXES);
+
+    for (int number = 0; number < STREAMS; number++) {
+      callers.get(number).send(fleet.callerPort(number % BOXES), PATH);
+    }
+
+    assertThat(callers).allMatch(caller -> caller.versions().size() == 1);
+    assertThat(callers).allMatch(StreamCaller::isComplete);
+  }
+
   // Guards against holding a stream, or resuming it elsewhere, after the last of its version left.
   @Test
   void refusesResumptionOnceNoUpstreamOfTheVersionIsLeft() throws Exception {
