--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FreePorts.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FreePorts.java
@@ -19,20 +19,6 @@
 
   private FreePorts() {}
 
-  static List<Integer> find(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
-
   /**
    * Returns free ports below the ephemeral range, so that outgoing connections do not take them.
    */
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -82,7 +82,7 @@
 
   /** Starts a box that reads the store at the given address, without waiting until it is ready. */
   void startBox(String storeAddress) throws Exception {
-    List<Integer> ports = FreePorts.find(4);
+    List<Integer> ports = FreePorts.findBelowEphemeralRange(4);
     LoopResources resources = LoopResources.create("box-" + boxes.size(), 1, 1, true, false);
     ByteArrayOutputStream log = new ByteArrayOutputStream();
     EventLog events = new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8), "box");
