--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -29,19 +29,22 @@
   private static final int FAULT_SERIES = 3;
   private static final Duration RECOVERY_TIMEOUT = Duration.ofSeconds(12);
 
-  private static final long LIMIT_SEED_MASK = 0x5eed;
-  private static final long ANNOUNCEMENT_SEED_MASK = 0x51617a1;
-  private static final long PARTITION_SEED_MASK = 0x9a27;
-  private static final long VERSION_SEED_MASK = 0x7e12;
-  private static final long SILENCE_SEED_MASK = 0x511e;
+  /** The series beside those of faults; a new one leaves the steps of the others as they are. */
+  private static final List<Series> SERIES =
+      List.of(
+          new Series(SoakRestartStep.values(), -1),
+          new Series(SoakLimitAndRestoreStep.values(), 0x5eed),
+          new Series(SoakAnnouncementStep.values(), 0x51617a1),
+          new Series(SoakPartitionStep.values(), 0x9a27),
+          new Series(SoakVersionStep.values(), 0x7e12),
+          new Series(SoakSilenceStep.values(), 0x511e),
+          new Series(SoakAllBoxesStep.values(), 0xa11b));
 
+  /** Steps that are drawn from the seed of a run combined with a mask. */
+  private record Series(SoakAction[] actions, long seedMask) {}
+
+  private final long seed;
   private final Random faultRandom;
-  private final Random restartRandom;
-  private final Random limitRandom;
-  private final Random announcementRandom;
-  private final Random partitionRandom;
-  private final Random versionRandom;
-  private final Random silenceRandom;
   private final Path folder;
   private final int timeoutFactor;
   private final long endMillis;
@@ -65,13 +68,8 @@
    */
   SoakRun(long seed, Duration duration, int boxCount, int timeoutFactor, Path folder)
       throws IOException {
+    this.seed = seed;
     this.faultRandom = new Random(seed);
-    this.restartRandom = new Random(~seed);
-    this.limitRandom = new Random(seed ^ LIMIT_SEED_MASK);
-    this.announcementRandom = new Random(seed ^ ANNOUNCEMENT_SEED_MASK);
-    this.partitionRandom = new Random(seed ^ PARTITION_SEED_MASK);
-    this.versionRandom = new Random(seed ^ VERSION_SEED_MASK);
-    this.silenceRandom = new Random(seed ^ SILENCE_SEED_MASK);
     this.engines = new SoakEngines(store, faultRandom);
     this.versionedEngines = new SoakVersionedEngines(store);
     this.streamCallers = new SoakStreamCallers(boxes, versionedEngines);
@@ -125,18 +123,16 @@
   }
 
   private void runAllSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + 6);
+    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + SERIES.size());
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < FAULT_SERIES; i++) {
       Random random = new Random(faultRandom.nextLong());
       running.add(series.submit(() -> runSeries(SoakFaultStep.values(), random)));
     }
-    running.add(series.submit(() -> runSeries(SoakRestartStep.values(), restartRandom)));
-    running.add(series.submit(() -> runSeries(SoakLimitAndRestoreStep.values(), limitRandom)));
-    running.add(series.submit(() -> runSeries(SoakAnnouncementStep.values(), announcementRandom)));
-    running.add(series.submit(() -> runSeries(SoakPartitionStep.values(), partitionRandom)));
-    running.add(series.submit(() -> runSeries(SoakVersionStep.values(), versionRandom)));
-    running.add(series.submit(() -> runSeries(SoakSilenceStep.values(), silenceRandom)));
+    for (Series each : SERIES) {
+      Random random = new Random(seed ^ each.seedMask());
+      running.add(series.submit(() -> runSeries(each.actions(), random)));
+    }
     for (Future<?> each : running) {
       each.get();
     }
@@ -164,6 +160,10 @@
     stepLog.add(SoakCallers.currentMillis() + " " + step);
   }
 
+  List<SoakBox> boxes() {
+    return boxes;
+  }
+
   SoakBox randomBox(Random random) {
     return boxes.get(random.nextInt(boxes.size()));
   }
