--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -172,7 +172,7 @@
       }
       return;
     }
-    if (last && framing == ResponseFraming.CONNECTION && !isClosedInOrder()) {
+    if (last && framing == ResponseFraming.CONNECTION && !isOrderlyClose()) {
       fail(CallFailure.BROKEN);
       return;
     }
@@ -194,7 +194,7 @@
    * <p>The decoder ends a response without a length at any end of the connection. Only an orderly
    * close leaves the channel active, since it allows half-closure.
    */
-  private boolean isClosedInOrder() {
+  private boolean isOrderlyClose() {
     return context != null
         && context.channel().isActive()
         && writeFuture != null
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/ArchivingBox.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/ArchivingBox.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.resumption.OriginArchive;
 import org.gradeledge.resumption.OriginRecord;
@@ -59,12 +58,7 @@
         (from, query) ->
             Mono.<Set<Long>>create(sink -> archive.find(query.streamKey(), sink::success))
                 .subscribeOn(Schedulers.fromExecutor(loop))
-                .map(found -> toRecords(query.streamKey(), found)));
-  }
-
-  private static OriginRecords toRecords(long streamKey, Set<Long> origins) {
-    return new OriginRecords(
-        origins.stream().map(origin -> new OriginRecord(streamKey, origin, 0)).toList());
+                .map(found -> OriginRecords.answer(query.streamKey(), found)));
   }
 
   @Override
@@ -106,14 +100,10 @@
             ANSWER_TIMEOUT)
         .doOnError(e -> Logger.debug(e, "Box {} did not search the archive of origins", box))
         .onErrorReturn(new OriginRecords(List.of()))
-        .map(ArchivingBox::origins)
+        .map(OriginRecords::originHashes)
         .subscribe(found -> loop.execute(() -> listener.accept(found)));
   }
 
-  private static Set<Long> origins(OriginRecords answer) {
-    return answer.records().stream().map(OriginRecord::originHash).collect(Collectors.toSet());
-  }
-
   private String archivingBox() {
     return peers.available().stream().min(peers.byRank(TASK)).orElse(self);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/mesh/OriginExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/mesh/OriginExchange.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.gradeledge.peer.PeerNetwork;
 import org.gradeledge.resumption.OriginRecord;
 import org.gradeledge.resumption.OriginReplicas;
@@ -87,10 +86,7 @@
   }
 
   private OriginRecords answer(OriginQuery query) {
-    return new OriginRecords(
-        origins.find(query.streamKey()).stream()
-            .map(origin -> new OriginRecord(query.streamKey(), origin, 0))
-            .toList());
+    return OriginRecords.answer(query.streamKey(), origins.find(query.streamKey()));
   }
 
   @Override
@@ -153,7 +149,7 @@
         .flatMap(box -> ask(box, streamKey).onErrorComplete())
         .filter(answer -> !answer.records().isEmpty())
         .next()
-        .map(OriginExchange::origins)
+        .map(OriginRecords::originHashes)
         .defaultIfEmpty(Set.of())
         .subscribe(found -> loop.execute(() -> listener.accept(found)));
   }
@@ -169,10 +165,6 @@
         .doOnError(e -> Logger.debug(e, "Box {} did not tell the origin of a stream", box));
   }
 
-  private static Set<Long> origins(OriginRecords answer) {
-    return answer.records().stream().map(OriginRecord::originHash).collect(Collectors.toSet());
-  }
-
   /** Returns the boxes that store a record, other than this one. */
   private List<String> storingBoxes(long streamKey) {
     return select(streamKey, REPLICAS).stream().filter(box -> !box.equals(self)).toList();
