Observability: which answer on which connection was passed on, and what was not

The record of the incident could not tell the three hypotheses apart: a line of request-ended did not say which connection an attempt used, as which call of it, nor the status of the answer that was passed on; nothing told of responses that were skipped or of data on idle connections.

No decision changes.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchCall.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
+import org.gradeledge.connection.ConnectionUse;
 import org.gradeledge.connection.ResponseBuffer;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.event.EventLog;
@@ -147,7 +148,7 @@
   }
 
   @Override
-  public void onSent() {
+  public void onSent(ConnectionUse use) {
     listener.onCallSent(this);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallInProgress.java
@@ -45,9 +45,9 @@
     onCancel.run();
   }
 
-  void notifySent() {
+  void notifySent(ConnectionUse use) {
     if (!finished) {
-      listener.onSent();
+      listener.onSent(use);
     }
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallListener.java
@@ -12,8 +12,12 @@
  */
 public interface CallListener {
 
-  /** Called when the request is handed to an open connection. */
-  default void onSent() {}
+  /**
+   * Called when the request is handed to an open connection.
+   *
+   * @param use the connection and the number of the call on it
+   */
+  default void onSent(ConnectionUse use) {}
 
   /** Called when the response head is received. */
   void onHead(int status, HttpHeaders headers);
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -35,6 +35,8 @@
   private final Map<String, UpstreamConnectionPool> poolsByIncarnation = new HashMap<>();
   private final Map<String, Set<UpstreamConnection>> openByIncarnation = new HashMap<>();
   private BiConsumer<UpstreamRecord, ResponseHead> responseListener = (upstream, head) -> {};
+  private BiConsumer<UpstreamRecord, ResponseAnomaly> anomalyListener = (upstream, anomaly) -> {};
+  private long openedConnections;
 
   /**
    * Creates a caller without open connections.
@@ -119,9 +121,28 @@
     this.responseListener = listener;
   }
 
+  /** Sets the listener for data that is not the response to a call. */
+  public void onAnomaly(BiConsumer<UpstreamRecord, ResponseAnomaly> listener) {
+    this.anomalyListener = listener;
+  }
+
+  private ConnectionObserver observer(UpstreamRecord target) {
+    return new ConnectionObserver() {
+      @Override
+      public void onHead(ResponseHead head) {
+        responseListener.accept(target, head);
+      }
+
+      @Override
+      public void onAnomaly(ResponseAnomaly anomaly) {
+        anomalyListener.accept(target, anomaly);
+      }
+    };
+  }
+
   private void connect(UpstreamRecord target, UpstreamConnectionPool pool, CallInProgress call) {
     UpstreamConnection connection =
-        new UpstreamConnection(pool, head -> responseListener.accept(target, head), clock);
+        new UpstreamConnection(++openedConnections, pool, observer(target), clock);
     pool.connectionOpened();
     pool.addConnecting(call);
     openByIncarnation
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.gradeledge.time.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
@@ -35,7 +34,8 @@
   private static final long MAX_SKIPPED_BYTES = 16 * 1024 * 1024;
 
   private final UpstreamConnectionPool pool;
-  private final Consumer<ResponseHead> onHead;
+  private final ConnectionObserver observer;
+  private final ResponseAnomalyReporter anomalies;
   private @Nullable ChannelHandlerContext context;
   private @Nullable CallInProgress call;
   private @Nullable ChannelFuture writeFuture;
@@ -54,12 +54,16 @@
   /**
    * Creates a connection that is not open yet.
    *
-   * @param onHead called with the head of each response, even if its call was cancelled
+   * @param number identifies the connection in logs
    */
   UpstreamConnection(
-      UpstreamConnectionPool owner, Consumer<ResponseHead> onHead, MonotonicClock clock) {
+      long number,
+      UpstreamConnectionPool owner,
+      ConnectionObserver observer,
+      MonotonicClock clock) {
     this.pool = owner;
-    this.onHead = onHead;
+    this.observer = observer;
+    this.anomalies = new ResponseAnomalyReporter(number, observer, clock);
     this.clock = clock;
     this.idleSinceNanos = clock.nanos();
   }
@@ -87,8 +91,9 @@
     reusable &= newCall.request().reuse() != ConnectionReuse.NONE;
     newCall.onCancel(this::close);
     sentAtNanos = clock.nanos();
+    anomalies.callSent(newCall);
     writeFuture = channel.writeAndFlush(encode(newCall.request()));
-    newCall.notifySent();
+    newCall.notifySent(anomalies.use());
   }
 
   /** Sets whether new calls may still be sent on this connection. */
@@ -124,10 +129,12 @@
   protected void channelRead0(ChannelHandlerContext channel, HttpObject message) {
     CallInProgress current = call;
     if (current == null) {
+      anomalies.reportIdleData(message.toString());
       close();
       return;
     }
     if (message.decoderResult().isFailure()) {
+      anomalies.reportInvalidResponse(message.decoderResult().cause());
       fail(CallFailure.GARBLED);
       return;
     }
@@ -151,13 +158,14 @@
     headReceived = true;
     skippingResponse = belongsToOtherCall(current, response);
     if (skippingResponse) {
+      anomalies.reportOtherResponse(response);
       reusable = false;
       return;
     }
     framing = ResponseFraming.of(response);
     reusable &= HttpUtil.isKeepAlive(response) && framing.allowsReuse();
     keepAliveMillis = KeepAliveHeader.timeoutMillis(response).orElse(keepAliveMillis);
-    onHead.accept(new ResponseHead(current.request(), sentAtNanos, response));
+    observer.onHead(new ResponseHead(current.request(), sentAtNanos, response));
     current.notifyHead(response.status().code(), response.headers());
   }
 
@@ -212,6 +220,7 @@
   /** Returns the connection to the pool after all data received with the response is processed. */
   private void finishCall() {
     idleSinceNanos = clock.nanos();
+    anomalies.callEnded();
     reusable &= writeFuture == null || writeFuture.isSuccess();
     if (!reusable) {
       close();
--- a/gradeledge-core/src/main/java/org/gradeledge/node/SendLimiters.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/SendLimiters.java
@@ -55,9 +55,11 @@
 
   /** Registers metrics of announced limits, backoffs and leaving upstreams. */
   void registerMetrics(RelayMetrics metrics, UpstreamRateLimiter rateLimiter) {
-    metrics.registerLimits(limits::limitedCount, rateLimiter::skipped);
-    metrics.registerSignals(
-        () -> upstreams.announcedLeaving().size(), backoffs::activeCount, backoffs::skipped);
+    metrics.upstreams().registerLimits(limits::limitedCount, rateLimiter::skipped);
+    metrics
+        .upstreams()
+        .registerSignals(
+            () -> upstreams.announcedLeaving().size(), backoffs::activeCount, backoffs::skipped);
   }
 
   /** Applies the signals in all answers and has the mesh announce changes immediately. */
--- a/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamConnectivity.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/UpstreamConnectivity.java
@@ -6,6 +6,7 @@
 import java.util.function.ToIntFunction;
 import org.gradeledge.connection.DirectDialer;
 import org.gradeledge.connection.PooledUpstreamCaller;
+import org.gradeledge.connection.ResponseAnomalyLog;
 import org.gradeledge.connection.UpstreamConnector;
 import org.gradeledge.connection.UpstreamPaths;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -28,6 +29,7 @@
   private final TunnelClient tunnels;
   private final TunnelServer server;
   private final PooledUpstreamCaller caller;
+  private final ResponseAnomalyLog anomalies;
 
   UpstreamConnectivity(
       EventLoop loop,
@@ -50,6 +52,8 @@
     this.caller =
         new PooledUpstreamCaller(
             loop, new UpstreamConnector(loop, dialer, paths, tunnels), connectionLimit, clock);
+    this.anomalies = new ResponseAnomalyLog(events);
+    caller.onAnomaly(anomalies::record);
     paths.onSilent(caller::discardConnections);
     upstreams.onRetired(caller::retire);
     upstreams.onReplaced(caller::abort);
@@ -82,6 +86,7 @@
   }
 
   void registerMetrics(RelayMetrics metrics) {
-    metrics.registerPaths(paths::lostCount, tunnels::openedCount, server::openCount);
+    metrics.upstreams().registerPaths(paths::lostCount, tunnels::openedCount, server::openCount);
+    metrics.upstreams().registerResponseAnomalies(anomalies::count);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AbstractAttempt.java
@@ -1,8 +1,10 @@
 package org.gradeledge.relay;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CancellableCall;
+import org.gradeledge.connection.ConnectionUse;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -20,6 +22,7 @@
   private final long startNanos;
   private long lastActivityNanos;
   private @Nullable CancellableCall call;
+  private Optional<ConnectionUse> connection = Optional.empty();
   private boolean finished;
   private boolean notRun;
 
@@ -32,6 +35,9 @@
     services.loads().recordStart(upstream, tokens);
   }
 
+  /** Called when the request was sent. */
+  void onSent() {}
+
   /** Called when the upstream reports that it did not run the request. */
   abstract void onNotRun(int status, HttpHeaders headers, AnswerSignals signals);
 
@@ -49,6 +55,17 @@
     return upstream;
   }
 
+  @Override
+  public final Optional<ConnectionUse> connection() {
+    return connection;
+  }
+
+  @Override
+  public final void onSent(ConnectionUse use) {
+    connection = Optional.of(use);
+    onSent();
+  }
+
   @Override
   public final void setCall(CancellableCall upstreamCall) {
     call = upstreamCall;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Attempt.java
@@ -1,7 +1,9 @@
 package org.gradeledge.relay;
 
+import java.util.Optional;
 import org.gradeledge.connection.CallListener;
 import org.gradeledge.connection.CancellableCall;
+import org.gradeledge.connection.ConnectionUse;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /** One attempt to send a request to an upstream. Confined to the event loop. */
@@ -10,6 +12,11 @@
   /** Returns the upstream that the request is sent to. */
   UpstreamRecord upstream();
 
+  /** Returns the connection that the request was sent on, if it was sent. */
+  default Optional<ConnectionUse> connection() {
+    return Optional.empty();
+  }
+
   /** Sets the call, so that the attempt can cancel it. */
   void setCall(CancellableCall call);
 
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/AttemptReplacer.java
@@ -140,7 +140,7 @@
     String line = verdict.label() + ", " + decision;
     if (!line.equals(lastDecision)) {
       lastDecision = line;
-      context.outcome().attemptSilent(silent.upstream(), line);
+      context.outcome().attemptSilent(silent, line);
     }
   }
 
@@ -203,9 +203,7 @@
 
   private void abandon(Attempt loser, boolean wasSilent) {
     history.recordPossibleRun();
-    context
-        .outcome()
-        .attemptAbandoned(loser.upstream(), wasSilent ? verdict.label() : "other-answered");
+    context.outcome().attemptAbandoned(loser, wasSilent ? verdict.label() : "other-answered");
     if (wasSilent) {
       loser.abandonAsSilent(verdict);
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.gradeledge.connection.ConnectionUse;
 import org.gradeledge.deployment.RouteDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.event.EventLog;
@@ -92,34 +93,46 @@
     softwareVersions.add(upstream.softwareVersion().orElse(UNKNOWN_VERSION));
   }
 
-  void attemptNotRun(UpstreamRecord upstream, int status) {
-    attemptTrace.append(" not-run:").append(status);
-    logProblem("attempt-not-run", upstream, "status " + status);
+  void attemptNotRun(Attempt attempt, int status) {
+    trace(attempt).append(" not-run:").append(status);
+    logProblem("attempt-not-run", attempt, "status " + status);
   }
 
   /** Records an attempt that ended without a usable answer of the upstream. */
-  void attemptFailed(UpstreamRecord upstream, String reason) {
-    attemptTrace.append(' ').append(reason);
-    logProblem("attempt-failed", upstream, reason);
+  void attemptFailed(Attempt attempt, String reason) {
+    trace(attempt).append(' ').append(reason);
+    logProblem("attempt-failed", attempt, reason);
   }
 
   /** Records what is known of a silent attempt, and whether and why it goes on. */
-  void attemptSilent(UpstreamRecord upstream, String decision) {
-    logProblem("attempt-silent", upstream, decision);
+  void attemptSilent(Attempt attempt, String decision) {
+    logProblem("attempt-silent", attempt, decision);
   }
 
   /** Records an attempt that this box gave up although its connection was open. */
-  void attemptAbandoned(UpstreamRecord upstream, String reason) {
-    attemptTrace.append(" abandoned:").append(reason);
-    logProblem("attempt-abandoned", upstream, reason);
+  void attemptAbandoned(Attempt attempt, String reason) {
+    trace(attempt).append(" abandoned:").append(reason);
+    logProblem("attempt-abandoned", attempt, reason);
   }
 
-  void answered(int status, HttpHeaders headers, ByteBuf body) {
+  /** Appends the connection of an attempt to the trace, to which its result is then added. */
+  private StringBuilder trace(Attempt attempt) {
+    String connection = label(attempt);
+    return attemptTrace.append(connection.isEmpty() ? "" : " #").append(connection);
+  }
+
+  private static String label(Attempt attempt) {
+    return attempt.connection().map(ConnectionUse::label).orElse("");
+  }
+
+  void answered(Attempt attempt, int status, HttpHeaders headers, ByteBuf body) {
+    trace(attempt).append(" status-").append(status);
     finish("answered-" + status / 100 + "xx", status, AnswerEnd.COMPLETE);
     response.answer(status, headers, body);
   }
 
-  void beginStream(int status, HttpHeaders headers) {
+  void beginStream(Attempt attempt, int status, HttpHeaders headers) {
+    trace(attempt).append(" status-").append(status);
     firstEventMillis = clock.elapsedMillis();
     routeTimes.observeFirstEvent(route.name(), firstEventMillis - Math.max(0, stagesMillis));
     response.beginStream(status, headers);
@@ -215,13 +228,14 @@
     return firstEventMillis > route.targetLatencyMillis() ? outcome + PAST_TARGET : outcome;
   }
 
-  private void logProblem(String name, UpstreamRecord upstream, String reason) {
+  private void logProblem(String name, Attempt attempt, String reason) {
     services
         .events()
         .problem(name)
         .with("request", request.id())
-        .with("upstream", upstream.id())
-        .with("service", upstream.service())
+        .with("upstream", attempt.upstream().id())
+        .with("service", attempt.upstream().service())
+        .with("connection", label(attempt))
         .with("why", reason)
         .with("left-ms", clock.remainingMillis())
         .write();
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ForwardedStream.java
@@ -41,7 +41,7 @@
     context.admitted().recordedRequestId().ifPresent(id -> recordOrigin(id, origin));
     context.inputs().release();
     context.clock().answerBegun();
-    context.outcome().beginStream(source.status(), source.headers());
+    context.outcome().beginStream(source, source.status(), source.headers());
   }
 
   private void recordOrigin(String requestId, Optional<StreamOrigin> origin) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -132,7 +132,7 @@
 
   @Override
   public void notRun(Attempt rejected, int status, HttpHeaders headers, AnswerSignals signals) {
-    outcome.attemptNotRun(rejected.upstream(), status);
+    outcome.attemptNotRun(rejected, status);
     boolean inputsMissing = status == INPUTS_GONE_STATUS && context.inputs().recordMissing();
     boolean mayAcceptLater = status > INPUTS_GONE_STATUS;
     context.recordRejection(rejected.upstream(), mayAcceptLater, signals);
@@ -159,7 +159,7 @@
 
   @Override
   public void failed(Attempt failedAttempt, CallFailure failure) {
-    outcome.attemptFailed(failedAttempt.upstream(), failure.name());
+    outcome.attemptFailed(failedAttempt, failure.name());
     boolean otherGoesOn = replacer.onEnded(failedAttempt);
     if (failure.isRequestSent()) {
       boolean mayRun = history.mayRunAgain();
@@ -200,7 +200,7 @@
     } else {
       replacer.onAnswered(answered);
       release();
-      outcome.answered(status, headers, body);
+      outcome.answered(answered, status, headers, body);
     }
   }
 
@@ -212,7 +212,7 @@
       return false;
     }
     history.recordPossibleRun();
-    outcome.attemptFailed(answered.upstream(), "status-" + status);
+    outcome.attemptFailed(answered, "status-" + status);
     if (!otherGoesOn) {
       dispatch();
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StreamAttempt.java
@@ -55,7 +55,7 @@
   }
 
   @Override
-  public void onSent() {
+  void onSent() {
     listener.sent(this);
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/FakeUpstreamCaller.java
@@ -53,7 +53,7 @@
 
     /** Reports the call as sent; must be called on the event loop. */
     public void notifySent() {
-      listener.onSent();
+      listener.onSent(new ConnectionUse(1, 1));
     }
 
     /** Completes the call with a response; must be called on the event loop. */
