Fix responses of HTTP/1.0 with two lengths, and refuse statuses under 100

A caller could get the first three bytes of a body of five as a whole answer: of two lengths of a response of HTTP/1.0 the decoder takes the first. A status under 100 was skipped as informational.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
 
@@ -53,6 +55,20 @@
     in.skipBytes(in.readableBytes());
   }
 
+  /**
+   * Decodes responses of HTTP/1.0 by the rules of HTTP/1.1, which refuse several lengths. They end
+   * their connection.
+   */
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    HttpMessage message = super.createMessage(initialLine);
+    if (HttpVersion.HTTP_1_0.equals(message.protocolVersion())) {
+      message.setProtocolVersion(HttpVersion.HTTP_1_1);
+      HttpUtil.setKeepAlive(message, false);
+    }
+    return message;
+  }
+
   /** Responses to HEAD requests have no body; those to other calls on the connection may have. */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -22,8 +21,7 @@
  */
 final class ResponseHeadValidator {
 
-  private static final Set<HttpVersion> VERSIONS =
-      Set.of(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1);
+  private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
   private static final String PROTOCOL = "HTTP/";
   private static final Predicate<String> CONTAINS_STATUS_LINE =
@@ -41,7 +39,8 @@
 
   private static Optional<String> findInvalidStatusLine(HttpResponse response) {
     boolean valid =
-        VERSIONS.contains(response.protocolVersion())
+        HttpVersion.HTTP_1_1.equals(response.protocolVersion())
+            && response.status().code() >= MIN_STATUS
             && response.status().code() <= MAX_STATUS
             && !HttpResponseStatus.SWITCHING_PROTOCOLS.equals(response.status());
     return valid
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/MalformedResponseTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/MalformedResponseTests.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import org.gradeledge.connection.ScriptedUpstream.End;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -59,7 +58,6 @@
   }
 
   // Guards against a status line of another version, or with a status of four digits.
-  @Tag("known-red")
   @ParameterizedTest
   @ValueSource(strings = {"HTTP/2.0 200 OK", "HTTP/1.1 2000 OK"})
   void failsAfterAStatusLineThatIsNotOfTheProtocol(String statusLine) throws Exception {
@@ -84,7 +82,6 @@
   }
 
   // Guards against the two lengths of a response of HTTP/1.0, of which the decoder takes the first.
-  @Tag("known-red")
   @ParameterizedTest
   @ValueSource(strings = {"Content-Length: 3\r\nContent-Length: 5", "Content-Length: 3, 5"})
   void failsAfterTwoLengthsOfAnEarlierVersion(String lengths) throws Exception {
@@ -92,7 +89,6 @@
   }
 
   // Guards against a body in an encoding that no caller asked for, or whose sizes are passed on.
-  @Tag("known-red")
   @ParameterizedTest
   @ValueSource(
       strings = {
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/SurplusResponseTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/SurplusResponseTests.java
@@ -100,7 +100,6 @@
   }
 
   // Guards against part of a surplus response that comes late, right before the own one.
-  @Tag("known-red")
   @ParameterizedTest
   @CsvSource({"GET, GET", "HEAD, GET", "GET, HEAD", "HEAD, HEAD"})
   void callNeverGetsPartsOfALateResponse(String firstMethod, String secondMethod) throws Exception {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSurplusAnswerTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSurplusAnswerTests.java
@@ -8,7 +8,6 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -51,7 +50,6 @@
   // Guards against reading the status of one answer and the headers of another as one head.
   @ParameterizedTest
   @MethodSource("partsOfHeads")
-  @Tag("known-red")
   void answersAreThoseOfTheirRunsWhereSecondAnswersStopInTheirHead(
       SurplusTiming timing, AnswerCut cut) throws Exception {
     SurplusAnswer surplus = new SurplusAnswer(timing, true, AnswerFraming.LENGTH, cut);
