Fix stage work that is called without a pause while no upstream can be reached

Cause: a call that could not be sent was made again at once. Failed upstreams are avoided, but where all are, all are called; and connections to an upstream that nobody reaches fail without trying for 250 ms, so that nothing slowed the loop.

Fix: a call that could not be sent pauses calls to its upstream for 100 ms; other upstreams are called at once, and the pause counts in the time until completion, by which slower upstreams are chosen. It pauses where nothing else would; tries are still more frequent than the paths are checked.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -214,6 +214,9 @@
   public void onCallFailed(BatchCall call, Optional<CallFailure> failure) {
     recordCallEnd(call);
     boolean sent = failure.map(CallFailure::isRequestSent).orElse(true);
+    if (!sent) {
+      call.target().recordUnreached(context.clock().nanos());
+    }
     String reason = failure.map(CallFailure::name).orElse("no answer in time");
     if (failure.filter(CallFailure.NO_CONNECTION_FREE::equals).isPresent()) {
       pauseFullUpstream(call);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstream.java
@@ -17,11 +17,16 @@
 
   private static final Duration HALF_LIFE = Duration.ofSeconds(1);
 
+  /** Bounds the calls to an upstream while connections to it fail at once. */
+  private static final Duration UNREACHED_PAUSE = Duration.ofMillis(100);
+
   private final UpstreamRecord upstream;
   private int calls;
   private long reservedBytes;
   private final FadingAverage slowdown;
   private long freeAtNanos;
+  private boolean unreached;
+  private long unreachedNanos;
 
   BatchUpstream(UpstreamRecord upstream, MonotonicClock clock) {
     this.upstream = upstream;
@@ -48,7 +53,23 @@
   /** Returns the expected time until a call that waits for this upstream completes. */
   double millisUntilCompletion(BatchLimits limits, int items, long nowNanos) {
     double wait = hasFreeSlot(limits) ? 0 : Math.max(0, (freeAtNanos - nowNanos) / 1e6);
-    return wait + expectedMillis(limits, items);
+    return Math.max(wait, pauseMillis(nowNanos)) + expectedMillis(limits, items);
+  }
+
+  /** Records that a call could not be sent, so that no other is made for a short time. */
+  void recordUnreached(long nowNanos) {
+    unreached = true;
+    unreachedNanos = nowNanos;
+  }
+
+  /** Returns whether no call may be made now as the last one could not be sent. */
+  boolean isPaused(long nowNanos) {
+    return pauseMillis(nowNanos) > 0;
+  }
+
+  private double pauseMillis(long nowNanos) {
+    long leftNanos = UNREACHED_PAUSE.toNanos() - (nowNanos - unreachedNanos);
+    return unreached ? Math.max(0, leftNanos / 1e6) : 0;
   }
 
   void callStarted(long bytes, double millis, long nowNanos) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -46,7 +46,8 @@
     Comparator<BatchUpstream> fastest =
         Comparator.comparingDouble(each -> each.expectedMillis(limits, items));
     return upstreams.stream()
-        .filter(each -> hasFreeSlot(each, limits) && context.sendLimiter().admits(each.upstream()))
+        .filter(each -> hasFreeSlot(each, limits) && !each.isPaused(now))
+        .filter(each -> context.sendLimiter().admits(each.upstream()))
         .filter(each -> each.expectedMillis(limits, items) <= earliestMillis * SLOWDOWN_TOLERANCE)
         .sorted(fastest.thenComparingLong(this::occupiedBytes))
         .toList();
@@ -58,12 +59,13 @@
     List<BatchUpstream> available = usable();
     double earliestMillis =
         earliestCompletionMillis(withMemory(available, limits), limits, items, now);
-    long avoided = context.upstreams().usable(service).size() - available.size();
+    List<BatchUpstream> paused = available.stream().filter(each -> each.isPaused(now)).toList();
+    long avoided = context.upstreams().usable(service).size() - available.size() + paused.size();
     ZoneAffinity affinity = zoneAffinity(waiting, limits, now);
     return Stream.concat(
             Stream.generate(() -> UnusedCause.AVOIDED).limit(avoided),
             available.stream()
-                .filter(each -> each.hasFreeSlot(limits))
+                .filter(each -> each.hasFreeSlot(limits) && !paused.contains(each))
                 .map(each -> idleCause(each, waiting, affinity, limits, earliestMillis)))
         .toList();
   }
