--- a/gradeledge-core/src/test/java/org/gradeledge/connection/ScriptedUpstream.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/ScriptedUpstream.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -84,11 +85,6 @@
     return sent.get();
   }
 
-  /** Returns the number of connections that were opened. */
-  public int connectionCount() {
-    return connections.size();
-  }
-
   /** Returns a record of this upstream. */
   public UpstreamRecord upstream(String id) {
     return new UpstreamRecord(id, "service", "127.0.0.1", server.getLocalPort(), "zone", 1, false);
@@ -117,16 +113,21 @@
     try (connection) {
       boolean open = true;
       while (open) {
-        Script script = scripts.get(readPath(connection.getInputStream()));
+        Script script = scriptOf(readPath(connection.getInputStream()));
         connection.getOutputStream().write(script.bytes().getBytes(StandardCharsets.ISO_8859_1));
         sent.incrementAndGet();
         open = script.end().end(connection);
       }
     } catch (IOException e) {
-      // The caller has closed the connection.
+      // The caller has closed the connection, or the test has set no response.
     }
   }
 
+  private Script scriptOf(String path) throws IOException {
+    return Optional.ofNullable(scripts.get(path))
+        .orElseThrow(() -> new IOException("no response to " + path));
+  }
+
   /** Reads a request and returns its path. */
   private static String readPath(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamConnectors.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamConnectors.java
@@ -8,21 +8,32 @@
 import org.gradeledge.event.EventLogs;
 
 /** Creates connectors for tests. */
-final class UpstreamConnectors {
+public final class UpstreamConnectors {
 
   private UpstreamConnectors() {}
 
   /** Creates a connector that has no other boxes. */
-  static UpstreamConnector withoutTunnels(EventLoop loop) {
+  public static UpstreamConnector withoutTunnels(EventLoop loop) {
     DirectDialer dialer = new DirectDialer(loop);
-    UpstreamPaths paths =
-        new UpstreamPaths(
+    return new UpstreamConnector(
+        loop,
+        dialer,
+        paths(
             loop,
-            System::nanoTime,
-            EventLogs.silent(),
-            List::of,
-            (target, listener) -> dialer.check(target, UpstreamPaths.CHECK_TIMEOUT, listener));
-    return new UpstreamConnector(loop, dialer, paths, new NoTunnels());
+            (target, listener) -> dialer.check(target, UpstreamPaths.CHECK_TIMEOUT, listener)),
+        new NoTunnels());
+  }
+
+  /** Creates a connector that has no path of its own to an upstream. */
+  public static UpstreamConnector withTunnelsOnly(
+      EventLoop loop, UpstreamRecord target, TunnelConnector tunnels) {
+    UpstreamPaths paths = paths(loop, (upstream, listener) -> {});
+    paths.recordFailed(target, PathCheck.REFUSED);
+    return new UpstreamConnector(loop, new DirectDialer(loop), paths, tunnels);
+  }
+
+  private static UpstreamPaths paths(EventLoop loop, UpstreamPaths.DirectCheck directCheck) {
+    return new UpstreamPaths(loop, System::nanoTime, EventLogs.silent(), List::of, directCheck);
   }
 
   /** Reaches no upstream. */
