Fix connections held for ever by releases that are never answered

Callers saw: nothing at first. A box may open a limited number of connections to an upstream; each release of results (/stage-free) that a silent upstream never answers held one of them, until requests ended with no connection free.

Cause: ResultReleaser set no time limit, unlike stage calls and reports.

Fix: the call is cancelled after 2 s, which closes its connection. The results count as stored until their retention ends, as after any other failure.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultReleaser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultReleaser.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CallListener;
+import org.gradeledge.connection.CancellableCall;
 import org.gradeledge.connection.ResponseBuffer;
 import org.gradeledge.connection.UpstreamCaller;
 import org.gradeledge.discovery.UpstreamRecord;
@@ -26,6 +27,9 @@
  */
 final class ResultReleaser {
 
+  /** Time after which an upstream that has not answered counts as silent. */
+  static final long TIMEOUT_MILLIS = 2_000;
+
   private static final long COLLECTION_MILLIS = 8;
   private static final long DEFERRAL_MILLIS = 100;
   private static final int MAX_ANSWER_BYTES = 64 * 1024;
@@ -118,7 +122,10 @@
       return;
     }
     sendLimiter.recordSent(upstream);
-    caller.call(upstream, protocol.encodeRelease(upstream, handles), new ReleaseListener(handles));
+    CancellableCall call =
+        caller.call(
+            upstream, protocol.encodeRelease(upstream, handles), new ReleaseListener(handles));
+    loop.schedule(call::cancel, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Reports the handles as released once the upstream has responded. */
