Fix results that count as released although the upstream refused that

Callers saw: stage work that the upstream rejects for lack of room and that is sent again elsewhere, against the retry budget, after a release was refused (503, 429) or answered by another upstream (421).

Cause: ResultReleaser read no status; any answer, also a late one to another call without an id, freed the memory of the results in this box's estimate.

Evidence: UnansweredReleaseTests.resultsOfARefusedReleaseStillOccupyMemory fails for each of the four statuses without the change.

Fix: only a 200 counts as a release. Otherwise the results count until their retention ends, as after a release that fails.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/ResultReleaser.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/ResultReleaser.java
@@ -33,6 +33,7 @@
   private static final long COLLECTION_MILLIS = 8;
   private static final long DEFERRAL_MILLIS = 100;
   private static final int MAX_ANSWER_BYTES = 64 * 1024;
+  private static final int OK = 200;
 
   /** Longer than the retention period of results at upstreams. */
   private static final double MAX_DEFERRAL_MILLIS = 30_000;
@@ -128,18 +129,21 @@
     loop.schedule(call::cancel, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Reports the handles as released once the upstream has responded. */
+  /** Reports the handles as released once the upstream has confirmed that. */
   private final class ReleaseListener implements CallListener {
 
     private final List<String> handles;
     private final ResponseBuffer body = new ResponseBuffer(MAX_ANSWER_BYTES);
+    private int status;
 
     ReleaseListener(List<String> handles) {
       this.handles = handles;
     }
 
     @Override
-    public void onHead(int status, HttpHeaders headers) {}
+    public void onHead(int responseStatus, HttpHeaders headers) {
+      status = responseStatus;
+    }
 
     @Override
     public void onContent(ByteBuf content) {
@@ -148,7 +152,9 @@
 
     @Override
     public void onComplete() {
-      onReleased.accept(handles);
+      if (status == OK) {
+        onReleased.accept(handles);
+      }
     }
 
     @Override
--- a/gradeledge-core/src/test/java/org/gradeledge/batch/UnansweredReleaseTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/batch/UnansweredReleaseTests.java
@@ -17,6 +17,8 @@
 import org.gradeledge.selection.UpstreamLoads;
 import org.gradeledge.time.MonotonicClock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Releases of results that the upstream does not carry out, in virtual time. */
 class UnansweredReleaseTests {
@@ -62,6 +64,22 @@
     assertThat(loads.ownLoads()).containsEntry("u1", new BoxLoad(0, RESULT_BYTES));
   }
 
+  // Guards against stage work for memory that a refused release has not freed.
+  @ParameterizedTest
+  @ValueSource(ints = {421, 429, 500, 503})
+  void resultsOfARefusedReleaseStillOccupyMemory(int status) throws Exception {
+    release().respond(status, "");
+
+    assertThat(loads.ownLoads()).containsEntry("u1", new BoxLoad(0, RESULT_BYTES));
+  }
+
+  @Test
+  void releasedResultsOccupyNoMemory() throws Exception {
+    release().respond(200, "");
+
+    assertThat(loads.ownLoads()).isEmpty();
+  }
+
   private FakeUpstreamCaller.Call release() throws InterruptedException {
     coordinator.submit(StageGroups.large("a", 1, RESULT_BYTES), result -> {});
     caller.nextCall().respond(200, HANDLE);
