Fix requests without an answer that are cut when a planned stop ends

Cause: the end of a stop only recorded what was still in flight; the process then ended with the connections.

Fix: whatever has no begun answer by then is answered, 502 if it was sent (it may have run), 503 if not, and the stop completes after these are written. A stream that has begun can only be cut, as before.

Evidence: StoppingBoxTests.answersRequestsThatItsUpstreamHasNotAnswered failed before (no answer).

--- a/gradeledge-core/src/main/java/org/gradeledge/node/GracefulShutdown.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/GracefulShutdown.java
@@ -71,9 +71,10 @@
     awaitActiveRequests(end);
   }
 
+  /** Answers what is left, and completes once the answers are written. */
   private void end(Runnable onCompletion) {
     handler.processEnds();
-    onCompletion.run();
+    loop.execute(onCompletion);
   }
 
   private void refuseRequests() {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -156,12 +156,13 @@
     finish("caller-gone", 0, AnswerEnd.CALLER_LEFT);
   }
 
-  /** Records that the process ends; does nothing if the answer has ended before. */
-  void processEnds() {
-    if (finished) {
-      return;
+  /** Refuses a request that was sent, as the process ends; records it if its stream has begun. */
+  void processEnds(boolean streaming) {
+    if (!finished && streaming) {
+      finish("process-ended", 0, AnswerEnd.PROCESS_ENDED);
+    } else {
+      refuse(Refusal.BROKEN, "process ends", streaming);
     }
-    finish("process-ended", 0, AnswerEnd.PROCESS_ENDED);
   }
 
   void refuse(Refusal refusal, String reason, boolean streaming) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayExchange.java
@@ -248,9 +248,10 @@
     }
   }
 
-  /** Records that the process ends before the request does. */
+  /** Ends the request before the process does; a begun stream can only be cut. */
   void processEnds() {
-    outcome.processEnds();
+    refuseUnsent();
+    outcome.processEnds(stream.isStarted());
   }
 
   private void fail(Refusal refusal, String reason) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -69,7 +69,7 @@
     List.copyOf(inFlight.keySet()).forEach(RelayExchange::refuseUnsent);
   }
 
-  /** Records the requests that are still in flight when the process ends. */
+  /** Ends the requests that are still in flight when the process ends. */
   public void processEnds() {
     List.copyOf(inFlight.keySet()).forEach(RelayExchange::processEnds);
   }
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StoppingBoxTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StoppingBoxTests.java
@@ -36,6 +36,17 @@
     assertThat(box.answers).containsExactly("200");
   }
 
+  // Guards against requests without an answer whose connection is cut when the process ends.
+  @Test
+  void answersRequestsThatItsUpstreamHasNotAnswered() {
+    box.send("silent", List.of());
+
+    box.handler().processEnds();
+    box.runPendingTasks();
+
+    assertThat(box.answers).hasSize(1).first().asString().startsWith("BROKEN ");
+  }
+
   // Guards against requests that are taken after the signal and cut when the process ends.
   @Test
   void refusesRequestsThatMayOutlastTheStop() {
