Fix two heads that other clients of the project read as one

At the project's own interface a caller could get an answer where the upstream had refused the call, and a call that had run could be reported as not run (and be sent again): part of another response, ended in its head, came before the response.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
@@ -7,32 +7,23 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
-import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
-/**
- * Finds response heads that must not be used although they can be decoded. Where an upstream ends a
- * response in its head and sends another one on the same connection, the two are decoded as one
- * head with the status of the first: the status line of the second is then in the reason phrase or
- * in the value of a header.
- */
+/** Finds response heads that must not be used although they can be decoded. */
 final class ResponseHeadValidator {
 
   private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
-  private static final String PROTOCOL = "HTTP/";
-  private static final Predicate<String> CONTAINS_STATUS_LINE =
-      Pattern.compile(PROTOCOL + "\\d\\.\\d \\d{3}").asPredicate();
 
   private ResponseHeadValidator() {}
 
   /** Returns why the head of a response to a request must not be used; empty if it may be. */
   static Optional<String> findDefect(HttpResponse response, OutgoingRequest request) {
     return findInvalidStatusLine(response)
-        .or(() -> findSecondStatusLine(response))
+        .or(
+            () ->
+                SecondStatusLine.find(response.status(), response.headers())
+                    .map(text -> "second status line: " + text))
         .or(() -> findUnknownLength(response.headers()))
         .or(() -> findSeveralIds(response.headers(), request));
   }
@@ -48,16 +39,6 @@
         : Optional.of(response.protocolVersion() + " " + response.status());
   }
 
-  private static Optional<String> findSecondStatusLine(HttpResponse response) {
-    return Stream.concat(
-            Stream.of(response.status().reasonPhrase()),
-            response.headers().entries().stream().map(Map.Entry::getValue))
-        .filter(text -> text.contains(PROTOCOL))
-        .filter(CONTAINS_STATUS_LINE)
-        .findFirst()
-        .map(text -> "second status line: " + text);
-  }
-
   /** Finds heads that leave open where the response ends: two lengths, or an unknown coding. */
   private static Optional<String> findUnknownLength(HttpHeaders headers) {
     List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
--- a/gradeledge-core/src/main/java/org/gradeledge/upstream/HttpUpstreamProtocol.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/upstream/HttpUpstreamProtocol.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gradeledge.configuration.UpstreamDefinition;
+import org.gradeledge.connection.SecondStatusLine;
 import org.gradeledge.document.JsonMappers;
 import org.gradeledge.metrics.BoxMetrics;
 import org.gradeledge.verdict.RefusalReason;
@@ -84,7 +85,8 @@
     if (headers.contains(UpstreamHeaders.LEAVING, "true", true)) {
       leavingListener.onLeaving(call.upstream());
     }
-    if (!matchesCall(call, headers)) {
+    if (!matchesCall(call, headers)
+        || SecondStatusLine.find(response.status(), headers).isPresent()) {
       metrics.droppedAnswer(call.upstream().id());
       return Flux.error(
           failure(
