Fix bodies that are filled up with bytes of the next response

A late response to another call that stopped in its body swallowed the response to the call, which waited for its time-out. A late response to HEAD took the beginning of the next response.

Cause: the decoder counts bytes; whose they are it cannot know.

Fix: content with a status line that is followed by the id of a call of the connection is refused, also where the second response begins in the content and goes on behind it. Without the id it is left alone, as content may speak of HTTP. Chunked responses are not searched: their sizes do not match. A connection that has carried a HEAD request is not used again; the test of it asks that, as a late response to HEAD can no longer precede another one.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 
@@ -44,6 +45,11 @@
     this.calls = calls;
   }
 
+  /** Returns what was received after the last decoded message. */
+  String undecoded() {
+    return internalBuffer().toString(StandardCharsets.ISO_8859_1);
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
@@ -1,5 +1,6 @@
 package org.gradeledge.connection;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -14,10 +15,13 @@
   private static final int MAX_IDS = 256;
 
   private final Set<String> ids = new HashSet<>();
+  private boolean complete;
 
   /** Records that the connection carries a call. */
   void add(OutgoingRequest request) {
     request.correlationHeader().map(CorrelationHeader::value).ifPresent(ids::add);
+    complete |= request.reuse() == ConnectionReuse.NONE || ids.size() >= MAX_IDS;
+    complete |= request.method().equals(HttpMethod.HEAD);
   }
 
   /** Returns whether a call with the same id was carried. */
@@ -29,8 +33,16 @@
         .isPresent();
   }
 
-  /** Returns whether no more ids can be recorded, so that the connection must not be reused. */
-  boolean isFull() {
-    return ids.size() >= MAX_IDS;
+  /** Returns whether a text contains the id of a call. */
+  boolean isAnyIn(String text) {
+    return ids.stream().anyMatch(text::contains);
+  }
+
+  /**
+   * Returns whether the connection may carry another call. It may not after a HEAD request: a late
+   * second response to it has a length and no content, and would take that of the next response.
+   */
+  boolean allowAnother() {
+    return !complete;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/OutgoingRequest.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/OutgoingRequest.java
@@ -1,8 +1,13 @@
 package org.gradeledge.connection;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 
 /**
@@ -30,4 +35,15 @@
         .map(expected -> expected.value().equals(response.headers().get(expected.header())))
         .orElse(true);
   }
+
+  /** Returns the request as it is sent. */
+  FullHttpRequest encode() {
+    FullHttpRequest encoded =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body));
+    encoded.headers().set(headers);
+    if (body.length > 0) {
+      HttpUtil.setContentLength(encoded, body.length);
+    }
+    return encoded;
+  }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseSelector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseSelector.java
@@ -3,12 +3,15 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * Selects the response to one call from what an upstream sends while it is in flight; skips
- * informational responses and those to other calls. Confined to the event loop.
+ * informational responses and those to other calls, and refuses content that contains another
+ * response. Confined to the event loop.
  */
 final class ResponseSelector {
 
@@ -23,13 +26,28 @@
   }
 
   private final OutgoingRequest request;
+  private final CarriedCalls carriedCalls;
+  private final Supplier<String> undecoded;
   private final ResponseAnomalyReporter anomalies;
+  private Optional<EmbeddedResponseFinder> embedded = Optional.empty();
   private Current current = Current.NONE;
   private int informationalHeads;
   private long skippedBytes;
 
-  ResponseSelector(OutgoingRequest request, ResponseAnomalyReporter anomalies) {
+  /**
+   * Creates a selector for one call.
+   *
+   * @param carriedCalls the calls of the connection, including this one
+   * @param undecoded returns what was received after the last decoded message
+   */
+  ResponseSelector(
+      OutgoingRequest request,
+      CarriedCalls carriedCalls,
+      Supplier<String> undecoded,
+      ResponseAnomalyReporter anomalies) {
     this.request = request;
+    this.carriedCalls = carriedCalls;
+    this.undecoded = undecoded;
     this.anomalies = anomalies;
   }
 
@@ -45,6 +63,9 @@
     }
     boolean selected = request.isAnsweredBy(response);
     current = selected ? Current.SELECTED : Current.SKIPPED;
+    embedded =
+        Optional.of(new EmbeddedResponseFinder(carriedCalls::isAnyIn))
+            .filter(finder -> !HttpUtil.isTransferEncodingChunked(response));
     if (!selected) {
       anomalies.reportOtherResponse(response);
     }
@@ -60,6 +81,9 @@
 
   /** Returns whether content belongs to the response to the call. */
   boolean selects(HttpContent content) throws InvalidResponseException {
+    if (current != Current.NONE) {
+      refuseEmbedded(content);
+    }
     if (current == Current.SKIPPED) {
       skip(content);
       return false;
@@ -67,6 +91,19 @@
     return current == Current.SELECTED;
   }
 
+  private void refuseEmbedded(HttpContent content) throws InvalidResponseException {
+    boolean last = content instanceof LastHttpContent;
+    Optional<String> statusLine =
+        embedded.flatMap(
+            finder ->
+                finder
+                    .add(content.content())
+                    .or(() -> last ? finder.end(undecoded.get()) : Optional.empty()));
+    if (statusLine.isPresent()) {
+      throw new InvalidResponseException("response inside the body: " + statusLine.get());
+    }
+  }
+
   private void skip(HttpContent content) throws InvalidResponseException {
     if (content instanceof LastHttpContent) {
       current = Current.NONE;
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -1,21 +1,17 @@
 package org.gradeledge.connection;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -40,6 +36,7 @@
   private final ConnectionObserver observer;
   private final ResponseAnomalyReporter anomalies;
   private final CarriedCalls carriedCalls = new CarriedCalls();
+  private final CallResponseDecoder decoder = new CallResponseDecoder(this);
   private @Nullable ChannelHandlerContext context;
   private @Nullable CallInProgress call;
   private @Nullable ChannelFuture writeFuture;
@@ -71,7 +68,7 @@
 
   /** Adds this connection to the pipeline of an open channel. */
   void addTo(ChannelPipeline pipeline) {
-    pipeline.addLast(new HttpRequestEncoder(), new CallResponseDecoder(this), this);
+    pipeline.addLast(new HttpRequestEncoder(), decoder, this);
   }
 
   @Override
@@ -91,26 +88,28 @@
       return;
     }
     call = newCall;
-    selector = new ResponseSelector(newCall.request(), anomalies);
     carriedCalls.add(newCall.request());
-    reusable &= newCall.request().reuse() != ConnectionReuse.NONE && !carriedCalls.isFull();
+    selector = new ResponseSelector(newCall.request(), carriedCalls, decoder::undecoded, anomalies);
+    reusable &= carriedCalls.allowAnother();
     newCall.onCancel(this::close);
     sentAtNanos = clock.nanos();
     anomalies.callSent(newCall);
-    writeFuture = channel.writeAndFlush(encode(newCall.request()));
+    writeFuture = channel.writeAndFlush(newCall.request().encode());
     newCall.notifySent(anomalies.use());
   }
 
+  boolean isOpen() {
+    return reusable && context != null && context.channel().isActive();
+  }
+
   /** Sets whether new calls may still be sent on this connection. */
   void setUsable(BooleanSupplier supplier) {
     usable = supplier;
   }
 
   boolean isReusable() {
-    return reusable
+    return isOpen()
         && usable.getAsBoolean()
-        && context != null
-        && context.channel().isActive()
         && idleMillis() < keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
   }
 
@@ -261,18 +260,4 @@
       current.fail(failure);
     }
   }
-
-  private static FullHttpRequest encode(OutgoingRequest request) {
-    FullHttpRequest encoded =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            request.method(),
-            request.uri(),
-            Unpooled.wrappedBuffer(request.body()));
-    encoded.headers().set(request.headers());
-    if (request.body().length > 0) {
-      HttpUtil.setContentLength(encoded, request.body().length);
-    }
-    return encoded;
-  }
 }
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/SecondResponseTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/SecondResponseTests.java
@@ -143,6 +143,20 @@
     }
   }
 
+  // Guards against a late second response to HEAD, whose length is that of no content, and which
+  // would take the content of the next response.
+  @Test
+  void connectionIsNotReusedAfterAResponseToHead() throws Exception {
+    OutgoingRequest head = request(HttpMethod.HEAD, OWN, ConnectionReuse.ANY);
+    loop.submit(() -> caller.call(upstream(), head, new Recorder())).sync();
+    try (Socket upstream = acceptRequest()) {
+      write(upstream, response(200, OWN).replace(BODY, ""));
+
+      assertThat(outcomes.take()).isEqualTo("200 stamp-own");
+      assertThat(upstream.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
   @Test
   void wholeResponseToAnotherCallIsSkipped() throws Exception {
     send(OWN, ConnectionReuse.ANY);
@@ -183,7 +197,8 @@
   }
 
   private void send(String id, ConnectionReuse reuse) throws InterruptedException {
-    loop.submit(() -> caller.call(upstream(), request(id, reuse), new Recorder())).sync();
+    loop.submit(() -> caller.call(upstream(), request(HttpMethod.GET, id, reuse), new Recorder()))
+        .sync();
   }
 
   /** Accepts a connection and reads the head of a request on it. */
@@ -207,9 +222,9 @@
         "id", "service", "127.0.0.1", server.getLocalPort(), "zone", 1, false);
   }
 
-  private static OutgoingRequest request(String id, ConnectionReuse reuse) {
+  private static OutgoingRequest request(HttpMethod method, String id, ConnectionReuse reuse) {
     return new OutgoingRequest(
-        HttpMethod.GET,
+        method,
         "/",
         new DefaultHttpHeaders().set("Host", "a").set("X-Request-Id", id),
         new byte[0],
