Fix upstreams avoided since an idle connection ended before a call was sent on it

An upstream could count as not connectable, and be avoided, although nothing was sent: an idle connection was chosen for a call, and data or a close was read on it before the call was sent, in the same turn of the event loop.

Fix: the call goes to another idle connection or a new one, unless the upstream was retired meanwhile.

Evidence: IdleConnectionRaceTests failed before (NOT_CONNECTED).

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -54,18 +54,36 @@
   public CancellableCall call(
       UpstreamRecord target, OutgoingRequest request, CallListener listener) {
     CallInProgress call = new CallInProgress(request, listener);
+    start(target, call);
+    return call;
+  }
+
+  private void start(UpstreamRecord target, CallInProgress call) {
     UpstreamConnectionPool pool =
         poolsByIncarnation.computeIfAbsent(
             target.incarnationId(), id -> new UpstreamConnectionPool());
-    UpstreamConnection idle = pool.takeIdle(request);
+    UpstreamConnection idle = pool.takeIdle(call.request());
     if (idle != null) {
-      loop.execute(() -> idle.send(call));
+      loop.execute(() -> sendOnIdle(idle, pool, target, call));
     } else if (!pool.ensureCapacity(connectionLimit.applyAsInt(target))) {
       loop.execute(() -> call.fail(CallFailure.NO_CONNECTION_FREE));
     } else {
       connect(target, pool, call);
     }
-    return call;
+  }
+
+  /** Sends a call, on another connection if the idle one has been closed since it was chosen. */
+  private void sendOnIdle(
+      UpstreamConnection idle,
+      UpstreamConnectionPool pool,
+      UpstreamRecord target,
+      CallInProgress call) {
+    boolean inUse = poolsByIncarnation.get(target.incarnationId()) == pool;
+    if (idle.isOpen() || call.isFinished() || !inUse) {
+      idle.send(call);
+    } else {
+      start(target, call);
+    }
   }
 
   @Override
