--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/AnswerPlan.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/AnswerPlan.java
@@ -61,7 +61,12 @@
   }
 
   void cut(AnswerCut cut, ConnectionEnd newEnd, Random random) {
-    sentLength = Math.min(sentLength, cut.position(text, random));
+    cutAfter(cut.position(text, random), newEnd);
+  }
+
+  /** Lets the answer stop after a number of bytes, unless it has no more. */
+  void cutAfter(int length, ConnectionEnd newEnd) {
+    sentLength = Math.min(sentLength, length);
     end = newEnd;
   }
 
