--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/AnswerDeviation.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/AnswerDeviation.java
@@ -10,6 +10,11 @@
     return answer;
   }
 
+  /** Returns whether the answer is sent before the body of its request is read. */
+  default boolean isBeforeBody() {
+    return false;
+  }
+
   /** Changes how an answer is sent, or what is sent beside it. */
   default void change(AnswerPlan plan, Random random) {}
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineAnnouncements.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineAnnouncements.java
@@ -22,15 +22,27 @@
   private volatile Optional<String> leaving = Optional.empty();
   private volatile Optional<String> retryAfter = Optional.empty();
   private final List<EngineArrival> arrivals = new CopyOnWriteArrayList<>();
+  private final Runnable onAnnouncement;
+
+  /**
+   * Creates no announcements.
+   *
+   * @param onAnnouncement called after each announcement has begun
+   */
+  EngineAnnouncements(Runnable onAnnouncement) {
+    this.onAnnouncement = onAnnouncement;
+  }
 
   /** Announces in all further responses that the engine is leaving, with the given header value. */
   public void announceLeaving(String text) {
     leaving = Optional.of(text);
+    onAnnouncement.run();
   }
 
   /** Rejects all further requests and requests a backoff of the given time. */
   public void announceBackoff(String seconds) {
     retryAfter = Optional.of(seconds);
+    onAnnouncement.run();
   }
 
   /** Stops all announcements and runs requests again. */
@@ -39,6 +51,11 @@
     retryAfter = Optional.empty();
   }
 
+  /** Returns whether there is an announcement. */
+  boolean isActive() {
+    return leaving.isPresent() || retryAfter.isPresent();
+  }
+
   /** Returns the received requests in order. */
   public List<EngineArrival> arrivals() {
     return List.copyOf(arrivals);
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineHistory.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/EngineHistory.java
@@ -13,6 +13,7 @@
   private final List<ReceivedRequest> executedRequests = new CopyOnWriteArrayList<>();
   private final List<Integer> executedBeforeIncarnation = new CopyOnWriteArrayList<>(List.of(0));
   private final Collection<EngineRun> runs = new ConcurrentLinkedQueue<>();
+  private final Collection<ReceivedRequest> readAfterAnswer = new ConcurrentLinkedQueue<>();
   private final AtomicInteger signatureCount = new AtomicInteger();
   private volatile long startedAtMillis = System.currentTimeMillis();
 
@@ -59,6 +60,16 @@
     runs.add(run);
   }
 
+  /** Records a request whose body was read after its answer was sent. */
+  void recordReadAfterAnswer(ReceivedRequest request) {
+    readAfterAnswer.add(request);
+  }
+
+  /** Returns the requests whose bodies were read after their answers were sent. */
+  List<ReceivedRequest> readAfterAnswer() {
+    return List.copyOf(readAfterAnswer);
+  }
+
   /** Returns the runs so far. */
   List<EngineRun> runs() {
     return List.copyOf(runs);
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngine.java
@@ -1,13 +1,9 @@
 package org.gradeledge.standin.fleet;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * Stand-in for an engine that sends raw HTTP responses, so that tests can inject malformed ones. It
@@ -24,18 +20,18 @@
   private final String id;
   private final EngineKind kind;
   private final String softwareVersion;
-  private volatile ServerSocket listener;
-  private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private final EngineListener listener = new EngineListener(this::serve);
   private final EngineHistory history;
-  private final EngineDeviations deviations = new EngineDeviations();
+  private final EngineDeviations deviations;
   private final ReleasedHandles releasedHandles = new ReleasedHandles();
   private final FleetEngineResponses responses;
   private final EngineRateLimit rateLimit = new EngineRateLimit();
-  private final EngineAnnouncements announcements = new EngineAnnouncements();
+  private final EngineAnnouncements announcements;
   private final EngineSilence silence = new EngineSilence();
   private volatile EngineFault fault = EngineFault.NONE;
   private final EngineCrashTriggers crashTriggers = new EngineCrashTriggers();
   private volatile boolean down;
+  private volatile boolean requestIdRequired;
 
   /** Starts an engine of the default software version on a free port. */
   public FleetEngine(String id, EngineKind kind) {
@@ -50,20 +46,12 @@
     this.kind = kind;
     this.softwareVersion = softwareVersion;
     this.history = new EngineHistory(id);
+    this.announcements = new EngineAnnouncements(this::resetDeviatingConnections);
+    this.deviations = new EngineDeviations(announcements::isActive);
     this.responses =
         new FleetEngineResponses(
             id, kind, softwareVersion, history, deviations, () -> address() + "/" + incarnation());
-    this.listener = listen();
-  }
-
-  private ServerSocket listen() {
-    try {
-      ServerSocket serverSocket = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-      DaemonThread.start("engine", () -> accept(serverSocket));
-      return serverSocket;
-    } catch (IOException e) {
-      throw new UncheckedIOException("could not open a listener", e);
-    }
+    listener.open();
   }
 
   /** Returns the id of the engine. */
@@ -83,7 +71,7 @@
 
   /** Returns the address of the engine. */
   public String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return listener.address();
   }
 
   /** Sets the fault for all further requests. */
@@ -91,6 +79,11 @@
     fault = newFault;
   }
 
+  /** Rejects all further requests without a request id, which the engine does not run. */
+  public void requireRequestId() {
+    requestIdRequired = true;
+  }
+
   /** Returns the requests that crash the engine, which does not restart by itself. */
   public EngineCrashTriggers crashTriggers() {
     return crashTriggers;
@@ -103,7 +96,7 @@
 
   /** Restarts a crashed engine as a new incarnation on another port. */
   public void restartAfterCrash() {
-    listener = listen();
+    listener.open();
     down = false;
     history.beginIncarnation();
   }
@@ -118,6 +111,11 @@
     return history.runs();
   }
 
+  /** Returns the requests whose bodies were read after their answers were sent. */
+  public List<ReceivedRequest> readAfterAnswer() {
+    return history.readAfterAnswer();
+  }
+
   /** Returns the deviations of the answers of the engine. */
   public EngineDeviations deviations() {
     return deviations;
@@ -140,7 +138,7 @@
 
   /** Makes all open connections carry nothing any more without resetting them. */
   public void severConnections() {
-    silence.sever(connections);
+    silence.sever(listener.connections());
   }
 
   /** Returns the number of the current incarnation, from 0. */
@@ -156,23 +154,15 @@
   /** Crashes and restarts as a new incarnation on the same port; resets all connections. */
   public void restart() throws IOException {
     history.beginIncarnation();
-    resetAll();
+    listener.resetAll();
   }
 
-  /** Closes the listener and resets all connections, as the crash of a process does. */
   private boolean crash() throws IOException {
     down = true;
-    listener.close();
-    resetAll();
+    listener.crash();
     return false;
   }
 
-  private void resetAll() throws IOException {
-    for (Socket socket : connections) {
-      EngineConnection.reset(socket);
-    }
-  }
-
   /** Returns the released handles that do not belong to the current incarnation. */
   public List<String> staleHandles() {
     return releasedHandles.stale();
@@ -191,40 +181,34 @@
         service, address(), zone, softwareVersion, state, history.startedAtMillis());
   }
 
-  private void accept(ServerSocket serverSocket) {
-    try {
-      while (true) {
-        Socket socket = serverSocket.accept();
-        connections.add(socket);
-        DaemonThread.start("engine", () -> serve(socket));
-      }
-    } catch (IOException e) {
-      // The listener was closed.
-    }
-  }
-
   private void serve(Socket socket) {
+    EngineConnection caller = new EngineConnection(socket, this::addAnnouncements, silence);
     try (socket) {
       RequestReader reader = new RequestReader(socket.getInputStream());
-      EngineConnection caller = new EngineConnection(socket, this::addAnnouncements, silence);
-      Optional<ReceivedRequest> request = reader.readRequest();
-      while (request.isPresent() && handleExclusively(request.get(), caller)) {
-        request = reader.readRequest();
+      Optional<ReceivedRequest> head = reader.readHead();
+      while (head.isPresent() && handleExclusively(head.get(), reader, caller)) {
+        head = reader.readHead();
       }
     } catch (IOException e) {
       // The connection was closed.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
-      connections.remove(socket);
+      deviations.forget(caller);
     }
   }
 
   /** Keeps late parts of earlier answers out of the answer to a request. */
-  private boolean handleExclusively(ReceivedRequest request, EngineConnection caller)
+  private boolean handleExclusively(
+      ReceivedRequest head, RequestReader reader, EngineConnection caller)
       throws IOException, InterruptedException {
     synchronized (caller) {
-      return handleRequest(request, caller);
+      if (kind == EngineKind.STAGE || !deviations.answerBeforeBody()) {
+        return handleRequest(reader.readBody(head), caller);
+      }
+      boolean open = handleRequest(head, caller);
+      history.recordReadAfterAnswer(reader.readBody(head));
+      return open;
     }
   }
 
@@ -250,6 +234,9 @@
       releasedHandles.record(request, address() + "/" + incarnation() + "-");
       return caller.send(RawHttpResponse.withBody(request, 200, "", "{}"));
     }
+    if (requestIdRequired && request.header("X-Request-Id").isEmpty()) {
+      return caller.send(RawHttpResponse.withBody(request, 400, "X-Not-Run: 1\r\n", ""));
+    }
     history.executedRequests().add(request);
     if (crashTriggers.matchesBody(request)) {
       responses.recordUnanswered(request);
@@ -262,6 +249,10 @@
     return responses.send(fault, request, caller);
   }
 
+  private void resetDeviatingConnections() {
+    deviations.resetAffectedConnections();
+  }
+
   private String addAnnouncements(String text) {
     return announcements.addHeader(rateLimit.addHeader(text));
   }
@@ -269,8 +260,5 @@
   @Override
   public void close() throws IOException {
     listener.close();
-    for (Socket socket : connections) {
-      socket.close();
-    }
   }
 }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngineResponses.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetEngineResponses.java
@@ -84,7 +84,7 @@
     if (kind == EngineKind.STREAM && !deviations.isActive()) {
       return caller.sendEvents(record(answer, Extent.WHOLE));
     }
-    AnswerPlan plan = deviations.plan(answer, caller::addAnnouncements);
+    AnswerPlan plan = deviations.plan(answer, caller);
     record(plan.answer(), plan.extent());
     return caller.send(plan);
   }
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/RequestReader.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/RequestReader.java
@@ -19,8 +19,8 @@
     this.in = in;
   }
 
-  /** Reads the next request; returns empty if the connection was closed before it. */
-  Optional<ReceivedRequest> readRequest() throws IOException {
+  /** Reads the head of the next request; returns empty if the connection was closed before it. */
+  Optional<ReceivedRequest> readHead() throws IOException {
     String requestLine = readLine();
     if (requestLine.isEmpty()) {
       return Optional.empty();
@@ -32,9 +32,15 @@
       headers.put(
           line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
     }
-    byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+    return Optional.of(new ReceivedRequest(tokens[0], tokens[1], headers, ""));
+  }
+
+  /** Reads the body that follows a head; returns the whole request. */
+  ReceivedRequest readBody(ReceivedRequest head) throws IOException {
+    byte[] body =
+        in.readNBytes(Integer.parseInt(head.headers().getOrDefault("content-length", "0")));
     String text = new String(body, StandardCharsets.UTF_8);
-    return Optional.of(new ReceivedRequest(tokens[0], tokens[1], headers, text));
+    return new ReceivedRequest(head.method(), head.path(), head.headers(), text);
   }
 
   private String readLine() throws IOException {
