Soak: check each answer against the runs of the engines

The soak accepted any success with the right body, so a success in place of a failure went unseen. Each answer is now compared with the run that its signature names: id, path, status and body; streams that may be resumed by the status of their head, their events and their orderly end. Callers also send GET requests and requests without an id, which engines reject.

A link that has dropped bytes of a connection drops all later ones and resets it, as a network does; before, it passed on answers with a hole, and an answer without a length looked complete.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FaultyLink.java
@@ -174,6 +174,9 @@
   private void forwardUntilClosed(Socket from, Socket to, Fault dropFault) {
     try {
       forwardBytes(from, to, dropFault);
+      if (silencedSockets.contains(from)) {
+        reset(to);
+      }
       from.close();
       to.close();
     } catch (IOException e) {
@@ -182,6 +185,7 @@
       reset(from);
     } finally {
       openSockets.remove(from);
+      silencedSockets.remove(from);
     }
   }
 
@@ -192,7 +196,11 @@
       if (fault == Fault.DELAY) {
         LockSupport.parkNanos(DELAY_NANOS);
       }
-      if (fault != dropFault && !silencedSockets.contains(from)) {
+      if (fault == dropFault) {
+        // A connection that lost bytes carries no later ones and does not end in order.
+        silencedSockets.add(from);
+      }
+      if (!silencedSockets.contains(from)) {
         to.getOutputStream().write(buffer, 0, count);
       }
     }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSurplusAnswerTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSurplusAnswerTests.java
@@ -73,7 +73,7 @@
       String[] headers = {AUTHORIZATION[0], AUTHORIZATION[1], "X-Request-Id", id};
       HttpResponse<String> response =
           number % 2 == 0 ? fleet.get(0, path, headers) : fleet.post(0, path, headers);
-      answers.add(ReceivedAnswer.of(id, path, false, response));
+      answers.add(ReceivedAnswer.of(id, path, false, response, response.body()));
     }
     return answers;
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/ReceivedAnswer.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/ReceivedAnswer.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * An answer that a caller received to its end.
+ * An answer that a caller received.
  *
  * @param requestId id of the request, or an empty string
  * @param path path of the request
@@ -12,7 +12,7 @@
  * @param status status of the answer
  * @param answeredIds request ids that the answer bears
  * @param signatures signatures that the answer bears
- * @param body body of the answer
+ * @param body body of the answer, or an empty string for the head of a stream
  */
 record ReceivedAnswer(
     String requestId,
@@ -25,7 +25,7 @@
 
   /** Returns the answer to a request that has the given id, or none if that is empty. */
   static ReceivedAnswer of(
-      String requestId, String path, boolean resumable, HttpResponse<String> response) {
+      String requestId, String path, boolean resumable, HttpResponse<?> response, String body) {
     return new ReceivedAnswer(
         requestId,
         path,
@@ -33,6 +33,6 @@
         response.statusCode(),
         response.headers().allValues("X-Request-Id"),
         response.headers().allValues("X-Response-Stamp"),
-        response.body());
+        body);
   }
 }
--- /dev/null
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakAnswerStep.java
@@ -0,0 +1,44 @@
+package org.gradeledge.standin.fleet;
+
+import java.util.List;
+import java.util.Random;
+
+/** Steps in which the answers of an engine deviate in one way or two. */
+enum SoakAnswerStep implements SoakAction {
+  /** An engine that serves requests or streams. */
+  DEVIATE {
+    @Override
+    public void execute(SoakRun run, Random random) throws InterruptedException {
+      FleetEngine engine = run.engines().randomServer(random);
+      begin(engine, run, random);
+      SoakRun.pause(randomMillis(random));
+      engine.deviations().end();
+    }
+  },
+  /** An engine of the service that has several software versions. */
+  DEVIATE_AMONG_VERSIONS {
+    @Override
+    public void execute(SoakRun run, Random random) throws InterruptedException {
+      long millis = randomMillis(random);
+      run.versionedEngines().harmOne(random, engine -> begin(engine, run, random), millis);
+    }
+  };
+
+  private static final int MAX_ONE_IN = 3;
+
+  @Override
+  public boolean isExclusive() {
+    return false;
+  }
+
+  private static void begin(FleetEngine engine, SoakRun run, Random random) {
+    List<AnswerDeviation> deviations = DrawnDeviation.drawOneOrTwo(random);
+    int oneIn = 1 + random.nextInt(MAX_ONE_IN);
+    run.logStep(engine.id() + " deviates, one in " + oneIn + ": " + deviations);
+    engine.deviations().begin(deviations, oneIn, random.nextLong());
+  }
+
+  private static long randomMillis(Random random) {
+    return 300 + random.nextInt(1_500);
+  }
+}
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakCallers.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakCallers.java
@@ -23,6 +23,7 @@
   private static final int ADDED_PATH_INTERVAL = 6;
 
   private final Collection<SoakCall> calls = new ConcurrentLinkedQueue<>();
+  private final Collection<ReceivedAnswer> answers = new ConcurrentLinkedQueue<>();
   private final List<String> addedPaths = new CopyOnWriteArrayList<>();
   private final List<Thread> threads = new CopyOnWriteArrayList<>();
   private final String idPrefix;
@@ -37,6 +38,11 @@
     return calls;
   }
 
+  /** Returns the answers that callers received to their end. */
+  Collection<ReceivedAnswer> answers() {
+    return answers;
+  }
+
   /** Adds a path to which callers also send requests. */
   void addPath(String prefix) {
     addedPaths.add(prefix);
@@ -62,19 +68,27 @@
       if (i % ADDED_PATH_INTERVAL == 0 && !addedPaths.isEmpty()) {
         path = addedPaths.get(ThreadLocalRandom.current().nextInt(addedPaths.size()));
       }
-      sendRequest(client, box, path);
+      sendRequest(client, box, path, SoakRequestForm.ofRequest(i));
     }
   }
 
   /** Sends a request and records its result. */
   SoakCall sendRequest(HttpClient client, SoakBox box, String path) {
+    return sendRequest(client, box, path, SoakRequestForm.POST);
+  }
+
+  private SoakCall sendRequest(HttpClient client, SoakBox box, String path, SoakRequestForm form) {
     String id = nextId();
+    String target = path + "x?call=" + id;
     int incarnation = box.incarnation();
     long sentMillis = currentMillis();
     SoakCall call;
     try {
       HttpResponse<String> response =
-          client.send(newRequest(box, path, id), HttpResponse.BodyHandlers.ofString());
+          client.send(newRequest(box, target, id, form), HttpResponse.BodyHandlers.ofString());
+      boolean resumable = path.equals(FleetConfiguration.RESUMABLE_PATH);
+      answers.add(
+          ReceivedAnswer.of(form.requestId(id), target, resumable, response, response.body()));
       call =
           newCall(
               id,
@@ -105,16 +119,16 @@
         id, path, box.number(), incarnation, sentMillis, currentMillis(), status, body);
   }
 
-  private static HttpRequest newRequest(SoakBox box, String path, String id) {
-    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + box.callerPort() + path + "x"))
-        .timeout(REQUEST_TIMEOUT)
-        .header("X-Request-Id", id)
-        .header("X-Deadline-Ms", "4000")
-        .header("Authorization", "Bearer " + Fleet.API_KEY)
-        .header("X-Pieces", "2,3")
-        .header("X-Piece-Key", "pk")
-        .POST(HttpRequest.BodyPublishers.ofString("a body"))
-        .build();
+  private static HttpRequest newRequest(
+      SoakBox box, String target, String id, SoakRequestForm form) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + box.callerPort() + target))
+            .timeout(REQUEST_TIMEOUT)
+            .header("X-Deadline-Ms", "4000")
+            .header("Authorization", "Bearer " + Fleet.API_KEY)
+            .header("X-Pieces", "2,3")
+            .header("X-Piece-Key", "pk");
+    return form.complete(builder, id).build();
   }
 
   private synchronized String nextId() {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecks.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecks.java
@@ -131,6 +131,18 @@
     }
   }
 
+  /** Checks that engines which read a body after their answer get that body and no other bytes. */
+  static List<String> checkBodiesReadAfterAnswers(Collection<ReceivedRequest> requests) {
+    return requests.stream()
+        .filter(request -> !request.body().equals(expectedBody(request)))
+        .map(request -> "other bytes in place of the body of " + request)
+        .toList();
+  }
+
+  private static String expectedBody(ReceivedRequest request) {
+    return request.method().equals("POST") ? SoakRequestForm.BODY : "";
+  }
+
   /** Returns the maximum number of requests in 4 s at a rate limit. */
   static long maxRequestsInWindow(double perSecond) {
     return (long) (perSecond * 1.5 * 4 + 5);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecksTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakChecksTests.java
@@ -94,6 +94,12 @@
         .isEmpty();
   }
 
+  @Test
+  void detectsOtherBytesInPlaceOfBody() {
+    assertThat(SoakChecks.checkBodiesReadAfterAnswers(List.of(newRead("a body")))).isEmpty();
+    assertThat(SoakChecks.checkBodiesReadAfterAnswers(List.of(newRead("POST /")))).hasSize(1);
+  }
+
   private static SoakCall newCall(String id, String path, int status, String body) {
     return new SoakCall(id, path, 1, 1, 0, 10, Optional.of(status), body);
   }
@@ -101,4 +107,8 @@
   private static ReceivedRequest newRequest(String id, String path) {
     return new ReceivedRequest("POST", path, Map.of("x-request-id", id), "");
   }
+
+  private static ReceivedRequest newRead(String body) {
+    return new ReceivedRequest("POST", "/again/1", Map.of(), body);
+  }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
@@ -27,6 +27,9 @@
   /** Starts an engine and writes its row. */
   void add(EngineKind kind) throws IOException {
     FleetEngine engine = new FleetEngine("i-" + kind + "-" + idRandom.nextInt(1_000_000), kind);
+    if (kind != EngineKind.STAGE) {
+      engine.requireRequestId();
+    }
     FaultyLink link = new FaultyLink(engine.address());
     allLinks.add(link);
     links.put(engine, link);
@@ -56,6 +59,18 @@
     return servingEngines.get(random.nextInt(servingEngines.size()));
   }
 
+  /** Returns a random engine of those whose answers boxes pass on to callers. */
+  FleetEngine randomServer(Random random) {
+    List<FleetEngine> servers =
+        servingEngines.stream().filter(engine -> engine.kind() != EngineKind.STAGE).toList();
+    return servers.get(random.nextInt(servers.size()));
+  }
+
+  /** Returns how many answers had deviations. */
+  int deviationCount() {
+    return allEngines().stream().mapToInt(engine -> engine.deviations().answerCount()).sum();
+  }
+
   FaultyLink randomLink(Random random) {
     return allLinks.get(random.nextInt(allLinks.size()));
   }
@@ -73,9 +88,20 @@
     return requests;
   }
 
+  /** Returns the runs of all engines, including removed ones. */
+  List<EngineRun> runs() {
+    return allEngines().stream().flatMap(engine -> engine.runs().stream()).toList();
+  }
+
+  /** Returns the requests whose bodies were read after their answers were sent. */
+  List<ReceivedRequest> readAfterAnswer() {
+    return allEngines().stream().flatMap(engine -> engine.readAfterAnswer().stream()).toList();
+  }
+
   /** Clears all faults, limits and announcements. */
   void clearFaults() {
     servingEngines.forEach(engine -> engine.setFault(EngineFault.NONE));
+    servingEngines.forEach(engine -> engine.deviations().end());
     servingEngines.forEach(engine -> engine.rateLimit().withdraw());
     servingEngines.forEach(engine -> engine.announcements().withdraw());
     allLinks.forEach(link -> link.setFault(FaultyLink.Fault.NONE));
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
@@ -52,7 +52,7 @@
           boxes,
           duration.toSeconds(),
           run.callCount(),
-          run.streamCounts(),
+          run.counts(),
           violations.isEmpty() ? "kept" : "BROKEN " + violations.get(0),
           folder);
       Files.write(folder.resolve("result.txt"), violations);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -29,20 +29,6 @@
   private static final int FAULT_SERIES = 3;
   private static final Duration RECOVERY_TIMEOUT = Duration.ofSeconds(12);
 
-  /** The series beside those of faults; a new one leaves the steps of the others as they are. */
-  private static final List<Series> SERIES =
-      List.of(
-          new Series(SoakRestartStep.values(), -1),
-          new Series(SoakLimitAndRestoreStep.values(), 0x5eed),
-          new Series(SoakAnnouncementStep.values(), 0x51617a1),
-          new Series(SoakPartitionStep.values(), 0x9a27),
-          new Series(SoakVersionStep.values(), 0x7e12),
-          new Series(SoakSilenceStep.values(), 0x511e),
-          new Series(SoakAllBoxesStep.values(), 0xa11b));
-
-  /** Steps that are drawn from the seed of a run combined with a mask. */
-  private record Series(SoakAction[] actions, long seedMask) {}
-
   private final long seed;
   private final Random faultRandom;
   private final Path folder;
@@ -117,19 +103,20 @@
     return callers.calls().size();
   }
 
-  /** Returns how many streams began and went on. */
-  String streamCounts() {
-    return SoakStreamChecks.describe(streamCallers.streams());
+  /** Returns how many answers deviated, and how many streams began and went on. */
+  String counts() {
+    String streams = SoakStreamChecks.describe(streamCallers.streams());
+    return "deviated=" + engines.deviationCount() + " " + streams;
   }
 
   private void runAllSeries() throws InterruptedException, ExecutionException {
-    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + SERIES.size());
+    ExecutorService series = Executors.newFixedThreadPool(FAULT_SERIES + SoakSeries.ALL.size());
     List<Future<?>> running = new ArrayList<>();
     for (int i = 0; i < FAULT_SERIES; i++) {
       Random random = new Random(faultRandom.nextLong());
       running.add(series.submit(() -> runSeries(SoakFaultStep.values(), random)));
     }
-    for (Series each : SERIES) {
+    for (SoakSeries each : SoakSeries.ALL) {
       Random random = new Random(seed ^ each.seedMask());
       running.add(series.submit(() -> runSeries(each.actions(), random)));
     }
@@ -259,7 +246,9 @@
     violations.addAll(
         SoakAnnouncementChecks.checkLeavingAnnouncements(callers.calls(), engines.allEngines()));
     violations.addAll(SoakAnnouncementChecks.checkBackoffs(callers.calls(), engines.allEngines()));
+    checkAnswers();
     violations.addAll(SoakStreamChecks.checkVersions(streamCallers.streams()));
+    violations.addAll(SoakStreamChecks.checkComplete(streamCallers.streams()));
     violations.addAll(SoakStreamChecks.checkResumptions(streamCallers.streams()));
     for (SoakBox box : boxes) {
       violations.addAll(SoakLogChecks.checkCutStreams(box.logLines()));
@@ -267,6 +256,15 @@
     engineSteps.checkDepartedEngines();
   }
 
+  private void checkAnswers() {
+    List<EngineRun> runs = new ArrayList<>(engines.runs());
+    runs.addAll(versionedEngines.runs());
+    AnswerChecks answerChecks = new AnswerChecks(runs);
+    violations.addAll(answerChecks.findViolations(callers.answers()));
+    violations.addAll(answerChecks.findViolations(streamCallers.answers()));
+    violations.addAll(SoakChecks.checkBodiesReadAfterAnswers(engines.readAfterAnswer()));
+  }
+
   @Override
   public void close() throws IOException {
     for (SoakBox box : boxes) {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStream.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStream.java
@@ -8,8 +8,9 @@
  *
  * @param versions software versions of the engines that sent its events
  * @param attempts its attempts in order
+ * @param endedIncomplete whether an answer ended in order before the last event
  */
-record SoakStream(Set<String> versions, List<Attempt> attempts) {
+record SoakStream(Set<String> versions, List<Attempt> attempts, boolean endedIncomplete) {
 
   /**
    * One attempt.
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStreamCallers.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStreamCallers.java
@@ -21,6 +21,7 @@
   private final List<SoakBox> boxes;
   private final SoakVersionedEngines engines;
   private final Collection<SoakStream> streams = new ConcurrentLinkedQueue<>();
+  private final Collection<ReceivedAnswer> answers = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new CopyOnWriteArrayList<>();
   private volatile boolean stopping;
 
@@ -33,6 +34,11 @@
     return streams;
   }
 
+  /** Returns the heads of the answers, and failures whole. */
+  Collection<ReceivedAnswer> answers() {
+    return answers;
+  }
+
   void start(int callers) {
     for (int i = 0; i < callers; i++) {
       threads.add(DaemonThread.start("stream-caller", this::callUntilStopped));
@@ -65,7 +71,8 @@
         SoakRun.pause(ThreadLocalRandom.current().nextLong(MAX_PAUSE_MILLIS));
       }
     }
-    return new SoakStream(caller.versions(), attempts);
+    answers.addAll(caller.answers());
+    return new SoakStream(caller.versions(), attempts, caller.endedIncomplete());
   }
 
   private SoakStream.Attempt attempt(StreamCaller caller) throws InterruptedException {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStreamChecks.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStreamChecks.java
@@ -23,6 +23,14 @@
         .toList();
   }
 
+  /** Checks that no answer ends in order before the last event of its stream. */
+  static List<String> checkComplete(Collection<SoakStream> streams) {
+    return streams.stream()
+        .filter(SoakStream::endedIncomplete)
+        .map(stream -> "a stream of " + stream.versions() + " ended in order before its last event")
+        .toList();
+  }
+
   /**
    * Checks that resumed streams go on at least half as often as new ones begin, while two engines
    * of their version serve.
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStreamChecksTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakStreamChecksTests.java
@@ -16,8 +16,8 @@
 
   @Test
   void findsStreamOfTwoVersions() {
-    SoakStream mixed = new SoakStream(Set.of("v1", "v2"), List.of(BEGUN, RESUMED));
-    SoakStream sound = new SoakStream(Set.of("v1"), List.of(BEGUN, RESUMED));
+    SoakStream mixed = new SoakStream(Set.of("v1", "v2"), List.of(BEGUN, RESUMED), false);
+    SoakStream sound = new SoakStream(Set.of("v1"), List.of(BEGUN, RESUMED), false);
 
     assertThat(SoakStreamChecks.checkVersions(List.of(sound, mixed))).hasSize(1);
   }
@@ -34,7 +34,14 @@
         .isEmpty();
   }
 
+  @Test
+  void findsStreamThatEndedInOrderBeforeItsLastEvent() {
+    SoakStream ended = new SoakStream(Set.of("v1"), List.of(BEGUN, RESUMED), true);
+
+    assertThat(SoakStreamChecks.checkComplete(List.of(stream(RESUMED), ended))).hasSize(1);
+  }
+
   private static SoakStream stream(SoakStream.Attempt resumption) {
-    return new SoakStream(Set.of("v1"), List.of(BEGUN, resumption));
+    return new SoakStream(Set.of("v1"), List.of(BEGUN, resumption), false);
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakVersionedEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakVersionedEngines.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 /** Engines of one service that run several software versions side by side. Thread-safe. */
 final class SoakVersionedEngines implements AutoCloseable {
@@ -55,15 +56,26 @@
 
   /** Lets an engine break off its streams, or send them slowly, for a while. */
   void harmOne(Random random, EngineFault fault, long millis) throws InterruptedException {
+    harmOne(random, engine -> engine.setFault(fault), millis);
+  }
+
+  /** Does something to an engine that lasts for a while. */
+  void harmOne(Random random, Consumer<FleetEngine> harm, long millis) throws InterruptedException {
     FleetEngine engine = serving.get(random.nextInt(serving.size()));
     if (failing.add(engine)) {
-      engine.setFault(fault);
+      harm.accept(engine);
       SoakRun.pause(millis);
       engine.setFault(EngineFault.NONE);
+      engine.deviations().end();
       failing.remove(engine);
     }
   }
 
+  /** Returns the runs of all engines. */
+  List<EngineRun> runs() {
+    return all.stream().flatMap(engine -> engine.runs().stream()).toList();
+  }
+
   FleetEngine randomEngine(Random random) {
     return serving.get(random.nextInt(serving.size()));
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
@@ -37,6 +37,8 @@
   private final HttpClient client = FleetCaller.newClient();
   private final List<Integer> events = new ArrayList<>();
   private final Set<String> versions = new TreeSet<>();
+  private final List<ReceivedAnswer> answers = new ArrayList<>();
+  private boolean endedIncomplete;
   private Optional<String> firstRequestId = Optional.empty();
   private Optional<String> retryAfter = Optional.empty();
 
@@ -55,7 +57,11 @@
         client.send(request(port, path, id), HttpResponse.BodyHandlers.ofInputStream());
     retryAfter = response.headers().firstValue("Retry-After");
     if (response.statusCode() == OK) {
+      answers.add(ReceivedAnswer.of(id, path, true, response, ""));
       readEvents(id, response.body(), maxEvents);
+    } else {
+      String body = new String(response.body().readAllBytes(), StandardCharsets.UTF_8);
+      answers.add(ReceivedAnswer.of(id, path, true, response, body));
     }
     response.body().close();
     return response.statusCode();
@@ -82,6 +88,7 @@
       while (events.size() - eventsBefore < maxEvents && remaining.hasNext()) {
         readLine(requestId, remaining.next());
       }
+      endedIncomplete |= events.size() - eventsBefore < maxEvents && !isComplete();
     } catch (IOException | UncheckedIOException e) {
       // The stream ended early.
     }
@@ -100,6 +107,16 @@
     return events.isEmpty() ? Optional.empty() : Optional.of(events.get(events.size() - 1));
   }
 
+  /** Returns the heads of the answers. */
+  List<ReceivedAnswer> answers() {
+    return answers;
+  }
+
+  /** Returns whether an answer ended in order before the last event. */
+  boolean endedIncomplete() {
+    return endedIncomplete;
+  }
+
   /** Returns the software versions of the upstreams that sent the events. */
   Set<String> versions() {
     return versions;
