Soak: begin each run with deviating answers of all engines

Each run now begins with two seconds in which all engines deviate, and the line of a seed counts the answers that did.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakAnswerStep.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakAnswerStep.java
@@ -9,7 +9,8 @@
   DEVIATE {
     @Override
     public void execute(SoakRun run, Random random) throws InterruptedException {
-      FleetEngine engine = run.engines().randomServer(random);
+      List<FleetEngine> servers = run.engines().servers();
+      FleetEngine engine = servers.get(random.nextInt(servers.size()));
       begin(engine, run, random);
       SoakRun.pause(randomMillis(random));
       engine.deviations().end();
@@ -25,6 +26,7 @@
   };
 
   private static final int MAX_ONE_IN = 3;
+  private static final long EVERYWHERE_MILLIS = 2_000;
 
   @Override
   public boolean isExclusive() {
@@ -38,6 +40,14 @@
     engine.deviations().begin(deviations, oneIn, random.nextLong());
   }
 
+  /** Lets all engines deviate for a while; a run begins with it, before any other fault. */
+  static void deviateEverywhere(SoakRun run, Random random) throws InterruptedException {
+    List<FleetEngine> servers = run.engines().servers();
+    servers.forEach(engine -> begin(engine, run, random));
+    run.versionedEngines().harmAll(engine -> begin(engine, run, random), EVERYWHERE_MILLIS);
+    servers.forEach(engine -> engine.deviations().end());
+  }
+
   private static long randomMillis(Random random) {
     return 300 + random.nextInt(1_500);
   }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakEngines.java
@@ -59,11 +59,9 @@
     return servingEngines.get(random.nextInt(servingEngines.size()));
   }
 
-  /** Returns a random engine of those whose answers boxes pass on to callers. */
-  FleetEngine randomServer(Random random) {
-    List<FleetEngine> servers =
-        servingEngines.stream().filter(engine -> engine.kind() != EngineKind.STAGE).toList();
-    return servers.get(random.nextInt(servers.size()));
+  /** Returns the engines whose answers boxes pass on to callers. */
+  List<FleetEngine> servers() {
+    return servingEngines.stream().filter(engine -> engine.kind() != EngineKind.STAGE).toList();
   }
 
   /** Returns how many answers had deviations. */
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -84,6 +84,7 @@
       callers.start(box, CALLERS_PER_BOX);
     }
     streamCallers.start(STREAM_CALLERS_PER_BOX * boxes.size());
+    SoakAnswerStep.deviateEverywhere(this, new Random(~seed));
     runAllSeries();
     clearFaults();
     expectAllServing("after all faults");
@@ -106,7 +107,8 @@
   /** Returns how many answers deviated, and how many streams began and went on. */
   String counts() {
     String streams = SoakStreamChecks.describe(streamCallers.streams());
-    return "deviated=" + engines.deviationCount() + " " + streams;
+    int deviations = engines.deviationCount() + versionedEngines.deviationCount();
+    return "deviated=" + deviations + " " + streams;
   }
 
   private void runAllSeries() throws InterruptedException, ExecutionException {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakVersionedEngines.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakVersionedEngines.java
@@ -80,9 +80,24 @@
     return serving.get(random.nextInt(serving.size()));
   }
 
+  /** Does something to all engines that lasts for a while. */
+  void harmAll(Consumer<FleetEngine> harm, long millis) throws InterruptedException {
+    failing.addAll(serving);
+    serving.forEach(harm);
+    SoakRun.pause(millis);
+    serving.forEach(engine -> engine.deviations().end());
+    failing.clear();
+  }
+
+  /** Returns how many answers had deviations. */
+  int deviationCount() {
+    return all.stream().mapToInt(engine -> engine.deviations().answerCount()).sum();
+  }
+
   /** Ends all faults. */
   void clearFaults() {
     all.forEach(engine -> engine.silence().resume());
+    all.forEach(engine -> engine.deviations().end());
   }
 
   /** Returns the number of engines of a software version that serve without a fault. */
