--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakAnswerStep.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakAnswerStep.java
@@ -26,7 +26,8 @@
   };
 
   private static final int MAX_ONE_IN = 3;
-  private static final long EVERYWHERE_MILLIS = 2_000;
+  private static final int ROUNDS = 3;
+  private static final long ROUND_MILLIS = 1_200;
 
   @Override
   public boolean isExclusive() {
@@ -42,9 +43,12 @@
 
   /** Lets all engines deviate for a while; a run begins with it, before any other fault. */
   static void deviateEverywhere(SoakRun run, Random random) throws InterruptedException {
+    run.boxes().forEach(box -> run.callers().startIdempotent(box, ROUNDS * ROUND_MILLIS));
     List<FleetEngine> servers = run.engines().servers();
-    servers.forEach(engine -> begin(engine, run, random));
-    run.versionedEngines().harmAll(engine -> begin(engine, run, random), EVERYWHERE_MILLIS);
+    for (int round = 0; round < ROUNDS; round++) {
+      servers.forEach(engine -> begin(engine, run, random));
+      run.versionedEngines().harmAll(engine -> begin(engine, run, random), ROUND_MILLIS);
+    }
     servers.forEach(engine -> engine.deviations().end());
   }
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakCallers.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakCallers.java
@@ -21,6 +21,7 @@
 
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
   private static final int ADDED_PATH_INTERVAL = 6;
+  private static final String IDEMPOTENT_PATH = "/again/";
 
   private final Collection<SoakCall> calls = new ConcurrentLinkedQueue<>();
   private final Collection<ReceivedAnswer> answers = new ConcurrentLinkedQueue<>();
@@ -54,6 +55,19 @@
     }
   }
 
+  /** Starts a caller that sends idempotent requests for a while. */
+  void startIdempotent(SoakBox box, long millis) {
+    long untilMillis = currentMillis() + millis;
+    threads.add(DaemonThread.start("caller", () -> callIdempotently(box, untilMillis)));
+  }
+
+  private void callIdempotently(SoakBox box, long untilMillis) {
+    HttpClient client = FleetCaller.newClient();
+    for (int i = 0; currentMillis() < untilMillis; i++) {
+      sendRequest(client, box, IDEMPOTENT_PATH, SoakRequestForm.ofRequest(i));
+    }
+  }
+
   void stop() throws InterruptedException {
     stopping = true;
     for (Thread thread : threads) {
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakProcessTest.java
@@ -51,7 +51,7 @@
           seed,
           boxes,
           duration.toSeconds(),
-          run.callCount(),
+          run.callers().calls().size(),
           run.counts(),
           violations.isEmpty() ? "kept" : "BROKEN " + violations.get(0),
           folder);
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -100,8 +100,8 @@
     return lines;
   }
 
-  int callCount() {
-    return callers.calls().size();
+  SoakCallers callers() {
+    return callers;
   }
 
   /** Returns how many answers deviated, and how many streams began and went on. */
