--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -141,7 +141,9 @@
 
   @Override
   public void onIdleData(ByteBuf data) {
-    anomalies.reportIdleData(data.toString(StandardCharsets.US_ASCII));
+    if (context != null && context.channel().isActive()) {
+      anomalies.reportIdleData(data.toString(StandardCharsets.US_ASCII));
+    }
     close();
   }
 
