Refuse content only if a header line of another response has the id of a call

A short id, such as a number, could stand anywhere in content that speaks of HTTP; such content would have been refused. The id must now be the value of a header line that follows a status line.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
@@ -33,9 +33,9 @@
         .isPresent();
   }
 
-  /** Returns whether a text contains the id of a call. */
-  boolean isAnyIn(String text) {
-    return ids.stream().anyMatch(text::contains);
+  /** Returns whether a text contains a header line with the id of a call. */
+  boolean hasIdIn(String text) {
+    return ids.stream().anyMatch(id -> text.contains(": " + id + "\r\n"));
   }
 
   /**
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/EmbeddedResponseFinder.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/EmbeddedResponseFinder.java
@@ -9,8 +9,8 @@
 /**
  * Finds another response in the content of one. Where an upstream ends a response in its body and
  * sends another one on the same connection, the content is filled up with bytes of the second. They
- * are taken for a response only if a status line is followed by the id of a call of this
- * connection, as content may speak of HTTP. Confined to the event loop.
+ * are taken for a response only if a status line is followed by a header with the id of a call of
+ * this connection, as content may speak of HTTP. Confined to the event loop.
  */
 final class EmbeddedResponseFinder {
 
@@ -30,7 +30,7 @@
   /**
    * Creates a finder for one response.
    *
-   * @param containsId returns whether a text contains the id of a call of the connection
+   * @param containsId returns whether a text contains a header line with the id of a call
    */
   EmbeddedResponseFinder(Predicate<String> containsId) {
     this.containsId = containsId;
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseSelector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseSelector.java
@@ -64,7 +64,7 @@
     boolean selected = request.isAnsweredBy(response);
     current = selected ? Current.SELECTED : Current.SKIPPED;
     embedded =
-        Optional.of(new EmbeddedResponseFinder(carriedCalls::isAnyIn))
+        Optional.of(new EmbeddedResponseFinder(carriedCalls::hasIdIn))
             .filter(finder -> !HttpUtil.isTransferEncodingChunked(response));
     if (!selected) {
       anomalies.reportOtherResponse(response);
