Bound the ids that a connection records, and read long times of Keep-Alive as none

It is not used again after 16 KB. A Keep-Alive time of more than nine digits made a sound answer fail as broken.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
@@ -11,19 +11,32 @@
  */
 final class CarriedCalls {
 
-  /** Bounds the memory; rarely reached before a connection is closed. */
+  /** Rarely reached before a connection is closed. */
   private static final int MAX_IDS = 256;
 
+  /** Bounds the memory, as callers choose the ids. */
+  private static final int MAX_ID_CHARACTERS = 16 * 1024;
+
   private final Set<String> ids = new HashSet<>();
+  private int idCharacters;
   private boolean complete;
 
   /** Records that the connection carries a call. */
   void add(OutgoingRequest request) {
-    request.correlationHeader().map(CorrelationHeader::value).ifPresent(ids::add);
-    complete |= request.reuse() == ConnectionReuse.NONE || ids.size() >= MAX_IDS;
+    request.correlationHeader().map(CorrelationHeader::value).ifPresent(this::add);
+    complete |= request.reuse() == ConnectionReuse.NONE || isFull();
     complete |= request.method().equals(HttpMethod.HEAD);
   }
 
+  private void add(String id) {
+    ids.add(id);
+    idCharacters += id.length();
+  }
+
+  private boolean isFull() {
+    return ids.size() >= MAX_IDS || idCharacters >= MAX_ID_CHARACTERS;
+  }
+
   /** Returns whether a call with the same id was carried. */
   boolean contains(OutgoingRequest request) {
     return request
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/KeepAliveHeader.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/KeepAliveHeader.java
@@ -9,7 +9,7 @@
 final class KeepAliveHeader {
 
   private static final String NAME = "Keep-Alive";
-  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d+)");
+  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,9})\\b");
 
   private KeepAliveHeader() {}
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
@@ -60,6 +60,8 @@
             .correlationHeader()
             .map(expected -> headers.getAll(expected.header()))
             .orElse(List.of());
-    return ids.size() > 1 ? Optional.of("several ids " + ids) : Optional.empty();
+    return ids.stream().distinct().count() > 1
+        ? Optional.of("several ids " + ids)
+        : Optional.empty();
   }
 }
