--- a/gradeledge-core/src/test/java/org/gradeledge/tunnel/CutResponseThroughTunnelTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/tunnel/CutResponseThroughTunnelTests.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.DirectDialer;
@@ -91,21 +90,16 @@
   @ParameterizedTest
   @MethodSource("endings")
   void failsAfterEachByteButTheLast(ResponseForm form, End end) throws Exception {
-    List<String> paths = startCutAfterEachByte(form.method(), form.bytes(), end);
-
-    for (String path : paths) {
-      assertThat(calls.outcome(path)).as(path).isIn(FAILED);
-    }
-    assertThat(client.openedCount()).isEqualTo(paths.size());
+    assertFailsAfterEachByte(
+        form.method(), form.bytes().substring(0, form.bytes().length() - 1), end);
   }
 
   @ParameterizedTest
   @MethodSource("endings")
   void isCompleteAfterTheLastByte(ResponseForm form, End end) throws Exception {
     upstream.respond("/", form.bytes(), end);
-    calls.start(record, form.method(), "/", ResponseForm.ID);
 
-    assertThat(calls.outcome("/")).isEqualTo(form.outcome());
+    assertThat(call(form.method(), "/")).isEqualTo(form.outcome());
   }
 
   // Guards against an empty response after a head without a length that is not whole.
@@ -114,9 +108,8 @@
       value = End.class,
       names = {"CLOSE", "RESET"})
   void failsAfterEachByteOfAHeadWithoutLength(End end) throws Exception {
-    for (String path : startCutAfterEachByte(HttpMethod.GET, HEAD_WITHOUT_LENGTH, end)) {
-      assertThat(calls.outcome(path)).as(path).isIn(FAILED);
-    }
+    assertFailsAfterEachByte(
+        HttpMethod.GET, HEAD_WITHOUT_LENGTH.substring(0, HEAD_WITHOUT_LENGTH.length() - 1), end);
   }
 
   // Guards against part of a body without a length that looks whole after a reset.
@@ -126,20 +119,31 @@
       names = {"CLOSE", "RESET"})
   void bodyWithoutLengthIsWholeOnlyAfterAnOrderlyClose(End end) throws Exception {
     upstream.respond("/", HEAD_WITHOUT_LENGTH + "whole", end);
-    calls.start(record, HttpMethod.GET, "/", ResponseForm.ID);
 
-    assertThat(calls.outcome("/"))
+    assertThat(call(HttpMethod.GET, "/"))
         .isEqualTo(end == End.CLOSE ? "200 whole" : CallFailure.BROKEN.name());
   }
 
-  /** Starts a call for each number of bytes from 0 to all but the last; returns their paths. */
-  private List<String> startCutAfterEachByte(HttpMethod method, String bytes, End end) {
-    List<String> paths =
-        IntStream.range(0, bytes.length()).mapToObj(length -> "/" + length).toList();
-    for (int length = 0; length < bytes.length(); length++) {
-      upstream.respond(paths.get(length), bytes.substring(0, length), end);
-      calls.start(record, method, paths.get(length), ResponseForm.ID);
+  private void assertFailsAfterEachByte(HttpMethod method, String bytes, End end) throws Exception {
+    for (int length = 0; length <= bytes.length(); length++) {
+      upstream.respond("/" + length, bytes.substring(0, length), end);
+
+      assertThat(call(method, "/" + length)).as("after %d bytes", length).isIn(FAILED);
     }
-    return paths;
+    assertThat(upstream.sentCount()).isEqualTo(bytes.length() + 1);
+    assertThat(client.openedCount()).isGreaterThanOrEqualTo(bytes.length() + 1);
+  }
+
+  /**
+   * Calls the upstream once. A call that finds no box in time, on a machine with other load, is not
+   * sent and is repeated.
+   */
+  private String call(HttpMethod method, String path) throws InterruptedException {
+    String outcome;
+    do {
+      calls.start(record, method, path, ResponseForm.ID);
+      outcome = calls.outcome(path);
+    } while (outcome.equals(CallFailure.NOT_CONNECTED.name()));
+    return outcome;
   }
 }
