Test answers to HEAD with content, between answers to GET, at a box

The stand-in engine sends content to HEAD requests too: callers get none, and the next answers on their connection are their own.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetPipelinedRequestsTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetPipelinedRequestsTests.java
@@ -8,11 +8,14 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
+import java.util.function.IntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -50,16 +53,7 @@
     engine.setFault(fault);
     try (Socket connection = new Socket(InetAddress.getLoopbackAddress(), fleet.callerPort(0))) {
       connection.setSoTimeout(READ_TIMEOUT_MILLIS);
-      connection
-          .getOutputStream()
-          .write(
-              IntStream.range(0, REQUESTS)
-                  .mapToObj(FleetPipelinedRequestsTests::request)
-                  .collect(Collectors.joining())
-                  .getBytes(StandardCharsets.US_ASCII));
-      BufferedReader in =
-          new BufferedReader(
-              new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+      BufferedReader in = send(connection, number -> request("GET", number));
 
       for (int number = 0; number < REQUESTS; number++) {
         assertThat(readAnswer(in)).isEqualTo("200 r" + number + " to r" + number);
@@ -67,30 +61,60 @@
     }
   }
 
-  private static String request(int number) {
-    return "GET /again/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer "
+  // Guards against the content that an upstream sends to HEAD and that becomes part of the next
+  // answer.
+  @Test
+  void answersToHeadHaveNoContentAndAreFollowedByTheNextOnes() throws Exception {
+    try (Socket connection = new Socket(InetAddress.getLoopbackAddress(), fleet.callerPort(0))) {
+      connection.setSoTimeout(READ_TIMEOUT_MILLIS);
+      BufferedReader in =
+          send(connection, number -> request(number % 2 == 0 ? "HEAD" : "GET", number));
+
+      for (int number = 0; number < REQUESTS; number += 2) {
+        assertThat(readHead(in)).startsWith("200", "r" + number);
+        assertThat(readAnswer(in)).isEqualTo("200 r" + (number + 1) + " to r" + (number + 1));
+      }
+    }
+  }
+
+  private static BufferedReader send(Socket connection, IntFunction<String> requests)
+      throws IOException {
+    String text = IntStream.range(0, REQUESTS).mapToObj(requests).collect(Collectors.joining());
+    connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    return new BufferedReader(
+        new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+  }
+
+  private static String request(String method, int number) {
+    return method
+        + " /again/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer "
         + Fleet.API_KEY
         + "\r\nX-Deadline-Ms: 9000\r\nX-Request-Id: r"
         + number
         + "\r\n\r\n";
   }
 
-  /** Reads an answer; returns its status, its id and the id in its body. */
-  private static String readAnswer(BufferedReader in) throws IOException {
+  /** Reads a head; returns the status, the id and the length. */
+  private static List<String> readHead(BufferedReader in) throws IOException {
     String status = in.readLine().split(" ")[1];
     String id = "";
-    int length = 0;
+    String length = "0";
     for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
       String header = line.toLowerCase(Locale.ROOT);
       id = header.startsWith(ID) ? header.substring(ID.length()) : id;
-      length =
-          header.startsWith(LENGTH) ? Integer.parseInt(header.substring(LENGTH.length())) : length;
+      length = header.startsWith(LENGTH) ? header.substring(LENGTH.length()) : length;
     }
-    char[] body = new char[length];
-    for (int read = 0; read < length; read++) {
+    return List.of(status, id, length);
+  }
+
+  /** Reads an answer; returns its status, its id and the id in its body. */
+  private static String readAnswer(BufferedReader in) throws IOException {
+    List<String> head = readHead(in);
+    char[] body = new char[Integer.parseInt(head.get(2))];
+    for (int read = 0; read < body.length; read++) {
       body[read] = (char) in.read();
     }
     String text = new String(body);
-    return status + " " + id + text.substring(Math.max(0, text.lastIndexOf(" to ")));
+    return head.get(0) + " " + head.get(1) + text.substring(Math.max(0, text.lastIndexOf(" to ")));
   }
 }
