--- a/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamConnectors.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/UpstreamConnectors.java
@@ -20,6 +20,7 @@
         dialer,
         paths(
             loop,
+            List.of(),
             (target, listener) -> dialer.check(target, UpstreamPaths.CHECK_TIMEOUT, listener)),
         new NoTunnels());
   }
@@ -27,13 +28,14 @@
   /** Creates a connector that has no path of its own to an upstream. */
   public static UpstreamConnector withTunnelsOnly(
       EventLoop loop, UpstreamRecord target, TunnelConnector tunnels) {
-    UpstreamPaths paths = paths(loop, (upstream, listener) -> {});
+    UpstreamPaths paths = paths(loop, List.of(target), (upstream, listener) -> {});
     paths.recordFailed(target, PathCheck.REFUSED);
     return new UpstreamConnector(loop, new DirectDialer(loop), paths, tunnels);
   }
 
-  private static UpstreamPaths paths(EventLoop loop, UpstreamPaths.DirectCheck directCheck) {
-    return new UpstreamPaths(loop, System::nanoTime, EventLogs.silent(), List::of, directCheck);
+  private static UpstreamPaths paths(
+      EventLoop loop, List<UpstreamRecord> known, UpstreamPaths.DirectCheck directCheck) {
+    return new UpstreamPaths(loop, System::nanoTime, EventLogs.silent(), () -> known, directCheck);
   }
 
   /** Reaches no upstream. */
