--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/AnswerChecks.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/AnswerChecks.java
@@ -24,7 +24,9 @@
   /** Returns the answers that are not those of a run of their request. */
   List<String> findViolations(Collection<ReceivedAnswer> answers) {
     return answers.stream()
-        .flatMap(answer -> violation(answer).map(text -> text + ": " + answer).stream())
+        .flatMap(
+            answer ->
+                violation(answer).map(text -> (text + ": " + answer).replace("\n", "\\n")).stream())
         .toList();
   }
 
