Test of continued streams: show the boxes' logs and each caller in a failure

The test failed twice in four runs of all fleet tests beside much load, once with a stream that was not complete and once with one of no event or of two versions; the message named only the caller's object. It checks as before.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
@@ -54,8 +54,8 @@
       callers.get(number).send(fleet.callerPort(number % BOXES), PATH);
     }
 
-    assertThat(callers).allMatch(caller -> caller.versions().size() == 1);
-    assertThat(callers).allMatch(StreamCaller::isComplete);
+    assertThat(callers).as(fleet.allLogs()).allMatch(caller -> caller.versions().size() == 1);
+    assertThat(callers).as(fleet.allLogs()).allMatch(StreamCaller::isComplete);
   }
 
   // Guards against losing the version of a stream together with the box that forwarded its start.
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
@@ -141,4 +141,9 @@
   Optional<String> retryAfter() {
     return retryAfter;
   }
+
+  @Override
+  public String toString() {
+    return "events " + events + " of " + versions + " by answers " + answers;
+  }
 }
