Test of streams after a loss of all boxes: wait for the origins of all answers

Traced by the answers in the failure: one caller got 200 and no event, and asked again; both answers have an origin, 20 bytes each, so that the expected size was reached with that of the last stream not yet written when the boxes were killed. The test now waits for the origins of all answers with 200; what it asserts is the same.

--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/FleetSoftwareVersionTests.java
@@ -78,7 +78,8 @@
   void resumesStreamsAfterAllBoxesWereKilled() throws Exception {
     startBoxes("v1", "v1", "v2", "v2");
     List<StreamCaller> callers = beginInterruptedStreams();
-    Fleet.await(() -> fleet.store().valueBytes("stream-origins") >= STREAMS * RECORD_BYTES);
+    long begunAnswers = callers.stream().mapToLong(StreamCaller::successCount).sum();
+    Fleet.await(() -> fleet.store().valueBytes("stream-origins") >= begunAnswers * RECORD_BYTES);
     fleet.killAllBoxes();
     fleet.startBoxes(BOXES);
 
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/StreamCaller.java
@@ -112,6 +112,11 @@
     return answers;
   }
 
+  /** Returns the number of answers with status 200, some of which may have brought no event. */
+  long successCount() {
+    return answers.stream().filter(answer -> answer.status() == OK).count();
+  }
+
   /** Returns whether an answer ended in order before the last event. */
   boolean endedIncomplete() {
     return endedIncomplete;
