Name what pauses calls, ends reuse and skips a response; drop state that is derived

BatchUpstream kept a flag and a time for one pause: now the end of the pause. UpstreamConnection asked again whether a skipped head was informational, which ResponseSelector knows. "complete" of CarriedCalls says that a connection is exhausted, "in use" of a pool that it was discarded. No decision changes.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -215,7 +215,7 @@
     recordCallEnd(call);
     boolean sent = failure.map(CallFailure::isRequestSent).orElse(true);
     if (!sent) {
-      call.target().recordUnreached(context.clock().nanos());
+      call.target().pauseAfterUnsentCall(context.clock().nanos());
     }
     String reason = failure.map(CallFailure::name).orElse("no answer in time");
     if (failure.filter(CallFailure.NO_CONNECTION_FREE::equals).isPresent()) {
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstream.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstream.java
@@ -5,6 +5,7 @@
 import org.gradeledge.discovery.UpstreamRecord;
 import org.gradeledge.time.FadingAverage;
 import org.gradeledge.time.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 
 /** The calls in flight to one upstream and its observed speed. Confined to the event loop. */
 final class BatchUpstream {
@@ -18,15 +19,14 @@
   private static final Duration HALF_LIFE = Duration.ofSeconds(1);
 
   /** Bounds the calls to an upstream while connections to it fail at once. */
-  private static final Duration UNREACHED_PAUSE = Duration.ofMillis(100);
+  private static final Duration UNSENT_CALL_PAUSE = Duration.ofMillis(100);
 
   private final UpstreamRecord upstream;
   private int calls;
   private long reservedBytes;
   private final FadingAverage slowdown;
   private long freeAtNanos;
-  private boolean unreached;
-  private long unreachedNanos;
+  private @Nullable Long pausedUntilNanos;
 
   BatchUpstream(UpstreamRecord upstream, MonotonicClock clock) {
     this.upstream = upstream;
@@ -56,20 +56,18 @@
     return Math.max(wait, pauseMillis(nowNanos)) + expectedMillis(limits, items);
   }
 
-  /** Records that a call could not be sent, so that no other is made for a short time. */
-  void recordUnreached(long nowNanos) {
-    unreached = true;
-    unreachedNanos = nowNanos;
+  /** Pauses calls for a short time after one that could not be sent. */
+  void pauseAfterUnsentCall(long nowNanos) {
+    pausedUntilNanos = nowNanos + UNSENT_CALL_PAUSE.toNanos();
   }
 
-  /** Returns whether no call may be made now as the last one could not be sent. */
+  /** Returns whether calls are paused. */
   boolean isPaused(long nowNanos) {
     return pauseMillis(nowNanos) > 0;
   }
 
   private double pauseMillis(long nowNanos) {
-    long leftNanos = UNREACHED_PAUSE.toNanos() - (nowNanos - unreachedNanos);
-    return unreached ? Math.max(0, leftNanos / 1e6) : 0;
+    return pausedUntilNanos == null ? 0 : Math.max(0, (pausedUntilNanos - nowNanos) / 1e6);
   }
 
   void callStarted(long bytes, double millis, long nowNanos) {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
@@ -30,7 +30,9 @@
     /** Returns the request of the call in flight. */
     Optional<OutgoingRequest> requestInFlight();
 
-    /** Called with data that arrives while no call is in flight, including the end of a read. */
+    /**
+     * Called with data that arrives while no call is in flight, or in one read after a response.
+     */
     void onIdleData(ByteBuf data);
   }
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CarriedCalls.java
@@ -5,9 +5,9 @@
 import java.util.Set;
 
 /**
- * Ids of the calls that a connection has carried. The response to a call with one of them could
- * belong to the earlier call, as an upstream may send a second response late. Confined to the event
- * loop.
+ * The calls that a connection has carried: their ids, and whether it may carry another one. The
+ * response to a call with one of the ids could belong to the earlier call, as an upstream may send
+ * a second response late. Confined to the event loop.
  */
 final class CarriedCalls {
 
@@ -19,13 +19,13 @@
 
   private final Set<String> ids = new HashSet<>();
   private int idCharacters;
-  private boolean complete;
+  private boolean exhausted;
 
   /** Records that the connection carries a call. */
   void add(OutgoingRequest request) {
     request.correlationHeader().map(CorrelationHeader::value).ifPresent(this::add);
-    complete |= request.reuse() == ConnectionReuse.NONE || isFull();
-    complete |= request.method().equals(HttpMethod.HEAD);
+    exhausted |= request.reuse() == ConnectionReuse.NONE || isFull();
+    exhausted |= request.method().equals(HttpMethod.HEAD);
   }
 
   private void add(String id) {
@@ -55,7 +55,7 @@
    * Returns whether the connection may carry another call. It may not after a HEAD request: a late
    * second response to it has a length and no content, and would take that of the next response.
    */
-  boolean allowAnother() {
-    return !complete;
+  boolean allowsAnother() {
+    return !exhausted;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/PooledUpstreamCaller.java
@@ -78,8 +78,8 @@
       UpstreamConnectionPool pool,
       UpstreamRecord target,
       CallInProgress call) {
-    boolean inUse = poolsByIncarnation.get(target.incarnationId()) == pool;
-    if (idle.isOpen() || call.isFinished() || !inUse) {
+    boolean poolDiscarded = poolsByIncarnation.get(target.incarnationId()) != pool;
+    if (idle.isOpen() || call.isFinished() || poolDiscarded) {
       idle.send(call);
     } else {
       start(target, call);
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseSelector.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseSelector.java
@@ -79,6 +79,11 @@
     }
   }
 
+  /** Returns whether a response to another call is being received. */
+  boolean isSkippingResponse() {
+    return current == Current.SKIPPED;
+  }
+
   /** Returns whether content belongs to the response to the call. */
   boolean selects(HttpContent content) throws InvalidResponseException {
     if (current != Current.NONE) {
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
@@ -90,7 +89,7 @@
     call = newCall;
     carriedCalls.add(newCall.request());
     selector = new ResponseSelector(newCall.request(), carriedCalls, decoder::undecoded, anomalies);
-    reusable &= carriedCalls.allowAnother();
+    reusable &= carriedCalls.allowsAnother();
     newCall.onCancel(this::close);
     sentAtNanos = clock.nanos();
     anomalies.callSent(newCall);
@@ -172,7 +171,7 @@
       if (responses.selects(response)) {
         handleHead(current, response);
       } else {
-        reusable &= response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        reusable &= !responses.isSkippingResponse();
       }
     }
     if (message instanceof HttpContent content && responses.selects(content)) {
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/CarriedCallsTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/CarriedCallsTests.java
@@ -19,7 +19,7 @@
     assertThat(calls.contains(request("id-0"))).isTrue();
     assertThat(calls.contains(request("id-254"))).isTrue();
     assertThat(calls.contains(request("id-255"))).isFalse();
-    assertThat(calls.allowAnother()).isTrue();
+    assertThat(calls.allowsAnother()).isTrue();
   }
 
   // Guards against an id that is forgotten while its connection goes on.
@@ -27,7 +27,7 @@
   void connectionEndsOnceNoMoreIdsAreRecorded() {
     IntStream.range(0, 256).forEach(number -> calls.add(request("id-" + number)));
 
-    assertThat(calls.allowAnother()).isFalse();
+    assertThat(calls.allowsAnother()).isFalse();
   }
 
   // Guards against long ids of callers that use up the memory of a box.
@@ -35,7 +35,7 @@
   void connectionEndsAfterLongIds() {
     calls.add(request("x".repeat(16 * 1024)));
 
-    assertThat(calls.allowAnother()).isFalse();
+    assertThat(calls.allowsAnother()).isFalse();
   }
 
   private static OutgoingRequest request(String id) {
