--- a/review/standin-2/Box.java
+++ b/review/standin-2/Box.java
@@ -7,12 +7,17 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** One box as its own process, started with the run line of the deploy file. */
 final class Box implements AutoCloseable {
+  private static final int PORTS = 5;
+  private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
   final int number;
   final int front;
   private final int ready;
@@ -33,8 +38,11 @@
 
   private static int[] freePorts() throws IOException {
     while (true) {
-      int first = 15_000 + (int) (Math.random() * 15_000);
-      int[] ports = new int[5];
+      int first = 15_000 + PORTS * (int) (Math.random() * 3_000);
+      if (!TAKEN.add(first)) {
+        continue;
+      }
+      int[] ports = new int[PORTS];
       List<ServerSocket> bound = new ArrayList<>();
       try {
         for (int i = 0; i < ports.length; i++) {
