Review case 6: more clients go on

In one of five runs on a clean build one box kept one engine and served 10 of 30 requests. 45 clients with four further requests each reach all engines of each box.

--- a/review/standin-2/ExpectedVersion.java
+++ b/review/standin-2/ExpectedVersion.java
@@ -9,7 +9,8 @@
  * the version that their last answer named.
  */
 final class ExpectedVersion extends Case {
-  private static final int SESSIONS = 30;
+  private static final int SESSIONS = 45;
+  private static final int LAST_TURN = 5;
   private static final int LAST_REQUESTS = 30;
   private static final int DEADLINE_MILLIS = 8_000;
 
@@ -67,7 +68,7 @@
     for (int session = 0; session < SESSIONS; session++) {
       firstAnswers.add(send(fleet, record, session % 3, "/model/x", "s" + session + "-1", ""));
     }
-    for (int turn = 2; turn <= 3; turn++) {
+    for (int turn = 2; turn <= LAST_TURN; turn++) {
       for (int session = 0; session < SESSIONS; session++) {
         goOn(fleet, record, session, turn, firstAnswers.get(session));
       }
