--- a/review/standin-2/CutThenSecond.java
+++ b/review/standin-2/CutThenSecond.java
@@ -13,8 +13,8 @@
  * same request on its connection, as the request ended with a failure.
  */
 final class CutThenSecond extends Case {
-  private static final int THREADS = 18;
-  private static final int REQUESTS_PER_THREAD = 90;
+  private static final int THREADS = 48;
+  private static final int REQUESTS_PER_THREAD = 60;
   private static final long GARBLE_MILLIS = 5_000;
   private static final long PAUSE_MILLIS = 20;
 
--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -11,7 +11,7 @@
 
 /** An engine as the pages describe it; a case gives the work it does by overriding run. */
 class Engine implements AutoCloseable {
-  private static final long WORK_MILLIS = 15;
+  private static final long WORK_MILLIS = 40;
 
   final String id;
   final String service;
--- a/review/standin-2/UnsignedSuccess.java
+++ b/review/standin-2/UnsignedSuccess.java
@@ -8,8 +8,8 @@
 
 /** Two of four engines spoil one bit in the head of one answer in twenty, for 5 s. */
 final class UnsignedSuccess extends Case {
-  private static final int THREADS = 18;
-  private static final int REQUESTS_PER_THREAD = 90;
+  private static final int THREADS = 48;
+  private static final int REQUESTS_PER_THREAD = 60;
   private static final long GARBLE_MILLIS = 5_000;
 
   private final AtomicInteger unsigned = new AtomicInteger();
