--- a/review/standin-2/Case.java
+++ b/review/standin-2/Case.java
@@ -6,7 +6,7 @@
   static final int BROKEN = 1;
   static final int NOT_RUN = 2;
 
-  final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  final boolean trouble = !"0".equals(System.getProperty("trouble"));
 
   /** Plays the case; returns whether the rule was broken. */
   abstract boolean play(Fleet fleet, Record record) throws Exception;
