Text outside ASCII passes between heads and bodies as UTF-8

Cause: Netty keeps a head as one character for each byte, a body is Unicode, and nothing converted between them. The same cause, found by reading and each with a test: keys outside ASCII got 401, routes outside ASCII got 404, targets reached engines with two bytes for each one above 127, stage calls named other ids and keys of pieces, ids of events became question marks; a name, handle, event id or row key that no header can carry ended in a 500 or in an exception in the event loop.

Fix: HeaderText converts at each crossing. UTF-8 gives different texts different bytes, so no two names become one (a property over all texts that a header can carry). What is only forwarded keeps its bytes; ByteRequestEncoder writes the target as it was read. What no header can carry is refused at once with the reason and logged. A request that cannot be read is logged, and its 400 says why.

The stand-in for engines reads heads byte for byte.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallInProgress.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallInProgress.java
@@ -63,7 +63,7 @@
     }
     try {
       listener.onContent(content);
-    } catch (ResponseTooLargeException e) {
+    } catch (UnusableResponseException e) {
       abandon(CallFailure.GARBLED);
     }
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallListener.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallListener.java
@@ -25,7 +25,7 @@
   /**
    * Called for each part of the response body; the buffer is released after the call.
    *
-   * @throws ResponseTooLargeException if the listener accepts no more; the call then fails
+   * @throws UnusableResponseException if the listener cannot use the content; the call then fails
    */
   void onContent(ByteBuf content);
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseTooLargeException.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseTooLargeException.java
@@ -1,12 +1,11 @@
 package org.gradeledge.connection;
 
 /**
- * Thrown by a {@link CallListener} that accepts no more of a response. The call fails as {@link
- * CallFailure#GARBLED} and its connection is closed, as an upstream may send without end.
+ * Thrown by a {@link CallListener} that accepts no more of a response.
  *
  * @since 0.3
  */
-public final class ResponseTooLargeException extends RuntimeException {
+public final class ResponseTooLargeException extends UnusableResponseException {
 
   private static final long serialVersionUID = 1L;
 
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/UpstreamConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -67,7 +66,7 @@
 
   /** Adds this connection to the pipeline of an open channel. */
   void addTo(ChannelPipeline pipeline) {
-    pipeline.addLast(new HttpRequestEncoder(), decoder, this);
+    pipeline.addLast(new ByteRequestEncoder(), decoder, this);
   }
 
   @Override
--- a/gradeledge-core/src/main/java/org/gradeledge/deployment/ClientAccount.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/deployment/ClientAccount.java
@@ -1,6 +1,7 @@
 package org.gradeledge.deployment;
 
 import java.util.Optional;
+import org.gradeledge.text.HeaderText;
 
 /**
  * A client account that is identified by keys.
@@ -10,4 +11,10 @@
  *     the most urgent
  * @since 0.2
  */
-public record ClientAccount(String name, Optional<Integer> priority) {}
+public record ClientAccount(String name, Optional<Integer> priority) {
+
+  /** Returns whether the name can be sent to upstreams in a header. */
+  public boolean isForwardable() {
+    return HeaderText.isSendable(name);
+  }
+}
--- a/gradeledge-core/src/main/java/org/gradeledge/deployment/DeploymentRegistry.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/deployment/DeploymentRegistry.java
@@ -17,6 +17,8 @@
  */
 public final class DeploymentRegistry {
 
+  private static final int MAX_LOGGED_ACCOUNTS = 20;
+
   private final DeploymentReader reader;
   private final EventLog events;
   private final List<Consumer<Deployment>> listeners = new ArrayList<>();
@@ -68,9 +70,24 @@
         .with("before", previousRevision)
         .with("source", source)
         .write();
+    logAccountsThatAreNotForwardable(deployment);
     listeners.forEach(listener -> listener.accept(deployment));
   }
 
+  private void logAccountsThatAreNotForwardable(Deployment deployment) {
+    deployment.accounts().values().stream()
+        .filter(account -> !account.isForwardable())
+        .distinct()
+        .limit(MAX_LOGGED_ACCOUNTS)
+        .forEach(
+            account ->
+                events
+                    .problem("account-not-forwardable")
+                    .with("account", account.name())
+                    .with("revision", deployment.revision())
+                    .write());
+  }
+
   private void rejectUnreadable(byte[] document, String reason) {
     if (lastUnreadableLength == document.length) {
       return;
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/EventFramer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/EventFramer.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.gradeledge.connection.ResponseTooLargeException;
+import org.gradeledge.connection.UnusableResponseException;
+import org.gradeledge.text.HeaderText;
 
 /**
  * Splits a stream of server-sent events into complete events, so that an event that the upstream
@@ -26,7 +28,8 @@
   /**
    * Adds received bytes and returns all events that they complete; the buffer may be empty.
    *
-   * @throws ResponseTooLargeException if one event exceeds the size limit
+   * @throws UnusableResponseException if one event exceeds the size limit, or has an id that cannot
+   *     be sent in a header
    */
   ByteBuf append(ByteBuf bytes) {
     pending.writeBytes(bytes);
@@ -37,11 +40,16 @@
       wholeEvents.release();
       throw new ResponseTooLargeException("event", MAX_PENDING_BYTES);
     }
-    recordLastId(wholeEvents);
+    try {
+      recordLastId(wholeEvents);
+    } catch (UnusableResponseException e) {
+      wholeEvents.release();
+      throw e;
+    }
     return wholeEvents;
   }
 
-  /** Returns the id of the last complete event. */
+  /** Returns the id of the last complete event with one character for each byte, as in a header. */
   Optional<String> lastId() {
     return lastId;
   }
@@ -76,13 +84,21 @@
     if (!events.isReadable()) {
       return;
     }
-    String text = new String(ByteBufUtil.getBytes(events), StandardCharsets.UTF_8);
+    String text = new String(ByteBufUtil.getBytes(events), StandardCharsets.ISO_8859_1);
     int firstField = text.startsWith(ID_FIELD) ? 0 : -1;
     int laterField = text.lastIndexOf('\n' + ID_FIELD);
     int field = laterField >= 0 ? laterField + 1 : firstField;
     if (field >= 0) {
       int end = text.indexOf('\n', field);
-      lastId = Optional.of(text.substring(field + ID_FIELD.length(), end).trim());
+      lastId = Optional.of(requireSendable(text.substring(field + ID_FIELD.length(), end).strip()));
+    }
+  }
+
+  /** An id that no header can carry would keep the stream from being resumed after its event. */
+  private static String requireSendable(String id) {
+    if (!id.isEmpty() && !HeaderText.isSendable(id)) {
+      throw new UnusableResponseException("the id of an event cannot be sent in a header");
     }
+    return id;
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/Refusal.java
@@ -15,8 +15,11 @@
   NO_ROUTE(404, false),
   /** The route requires a key, and the request has no valid one. */
   UNKNOWN_KEY(401, false),
+  /** The name of the client account cannot be sent to upstreams. */
+  ACCOUNT_NOT_FORWARDABLE(
+      503, "The name of this client account cannot be sent in a header. It was not run.\n"),
   /** The request is malformed. */
-  BAD_REQUEST(400, false),
+  BAD_REQUEST(400, false, "The request cannot be read: %s\n"),
   /** The body exceeds the size limit. */
   BODY_TOO_LARGE(413, false),
   /** The box is stopping. */
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayHandler.java
@@ -102,6 +102,9 @@
     if (deployment.keysRequired() && !route.get().publicAccess() && account.isEmpty()) {
       return refuse(request, Refusal.UNKNOWN_KEY, response);
     }
+    if (account.filter(known -> !known.isForwardable()).isPresent()) {
+      return refuse(request, Refusal.ACCOUNT_NOT_FORWARDABLE, response);
+    }
     if (request.body().length > deployment.callerLimits().maxBodyBytes()) {
       return refuse(request, Refusal.BODY_TOO_LARGE, response);
     }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServer.java
@@ -12,6 +12,7 @@
 import org.gradeledge.deployment.CallerLimits;
 import org.gradeledge.deployment.Deployment;
 import org.gradeledge.deployment.DeploymentRegistry;
+import org.gradeledge.event.EventLog;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -38,6 +39,7 @@
   private final RelayHandler handler;
   private final RelayProtocol protocol;
   private final DeploymentRegistry deployments;
+  private final EventLog events;
   private final LoopResources loops;
   private final ChannelGroup connections;
   private int activeRequests;
@@ -48,6 +50,7 @@
     this.handler = handler;
     this.protocol = services.protocol();
     this.deployments = services.deployments();
+    this.events = services.events();
     this.loops = loops;
     this.connections = new DefaultChannelGroup(services.eventLoop());
   }
@@ -134,13 +137,20 @@
           return protocol
               .read(request, bytes)
               .fold(
-                  error -> rejectUnreadable(response),
+                  error -> rejectUnreadable(request, error, response),
                   relayRequest -> relay(relayRequest, response));
         });
   }
 
-  private static Mono<RelayAnswer> rejectUnreadable(ReactorCallerResponse response) {
-    response.refuse(Refusal.BAD_REQUEST, 0);
+  private Mono<RelayAnswer> rejectUnreadable(
+      HttpServerRequest request, String reason, ReactorCallerResponse response) {
+    events
+        .problem("request-unreadable")
+        .with("path", request.uri())
+        .with("caller", String.valueOf(request.remoteAddress()))
+        .with("why", reason)
+        .write();
+    response.refuse(Refusal.BAD_REQUEST, 0, reason);
     return response.answer();
   }
 
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/EventFramerTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/EventFramerTests.java
@@ -12,12 +12,31 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.gradeledge.connection.ResponseTooLargeException;
+import org.gradeledge.connection.UnusableResponseException;
 import org.junit.jupiter.api.Test;
 
 class EventFramerTests {
 
   private final EventFramer framer = new EventFramer();
 
+  // Guards against a stream that is resumed after another id than that of its last event.
+  @Test
+  void idOutsideAsciiHasTheBytesOfTheEvent() {
+    append("id: \u043a\ndata: a\n\n");
+
+    assertThat(framer.lastId()).contains("\u00d0\u00ba");
+  }
+
+  // Guards against a request that never ends, as its repetition cannot name the last event.
+  @Test
+  void idThatNoHeaderCanCarryIsRejected() {
+    append("id: 1\ndata: a\n\n");
+
+    assertThatThrownBy(() -> append("id: 2\u0000\ndata: b\n\n"))
+        .isInstanceOf(UnusableResponseException.class);
+    assertThat(framer.lastId()).contains("1");
+  }
+
   @Test
   void returnsOnlyWholeEvents() {
     assertThat(append("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/FleetConfiguration.java
@@ -24,6 +24,11 @@
   private FleetConfiguration() {}
 
   static String configuration(int version, String additionalRoutes) {
+    return configuration(version, additionalRoutes, "");
+  }
+
+  /** Returns a configuration with additional routes and accounts; each begins with a comma. */
+  static String configuration(int version, String additionalRoutes, String additionalAccounts) {
     return "{\"version\":"
         + version
         + ",\"routes\":["
@@ -50,7 +55,9 @@
         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
         + "\"tenants\":[{\"name\":\"a-tenant\",\"api_keys\":[\""
         + API_KEY
-        + "\"],\"priority\":1}]}";
+        + "\"],\"priority\":1}"
+        + additionalAccounts
+        + "]}";
   }
 
   private static final String STAGES =
--- a/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/RequestReader.java
+++ b/gradeledge-standin/src/main/java/org/gradeledge/standin/fleet/RequestReader.java
@@ -4,13 +4,17 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
-/** Reads HTTP/1.1 requests from a connection. */
+/**
+ * Reads HTTP/1.1 requests from a connection. A path has one character for each byte, and headers
+ * are read as UTF-8.
+ */
 final class RequestReader {
 
   private final InputStream in;
@@ -21,13 +25,15 @@
 
   /** Reads the head of the next request; returns empty if the connection was closed before it. */
   Optional<ReceivedRequest> readHead() throws IOException {
-    String requestLine = readLine();
+    String requestLine = readLine(StandardCharsets.ISO_8859_1);
     if (requestLine.isEmpty()) {
       return Optional.empty();
     }
     String[] tokens = requestLine.split(" ");
     Map<String, String> headers = new HashMap<>();
-    for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+    for (String line = readLine(StandardCharsets.UTF_8);
+        !line.isEmpty();
+        line = readLine(StandardCharsets.UTF_8)) {
       int colon = line.indexOf(':');
       headers.put(
           line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
@@ -43,7 +49,7 @@
     return new ReceivedRequest(head.method(), head.path(), head.headers(), text);
   }
 
-  private String readLine() throws IOException {
+  private String readLine(Charset charset) throws IOException {
     ByteArrayOutputStream line = new ByteArrayOutputStream();
     for (int next = in.read(); next != '\n'; next = in.read()) {
       if (next < 0) {
@@ -56,6 +62,6 @@
         line.write(next);
       }
     }
-    return line.toString(StandardCharsets.US_ASCII);
+    return line.toString(charset);
   }
 }
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/Fleet.java
@@ -47,7 +47,15 @@
 
   /** Writes a configuration with additional routes, given as JSON that starts with a comma. */
   void configure(int version, String additionalRoutes) {
-    store.put("op", "config", FleetConfiguration.configuration(version, additionalRoutes));
+    configure(version, additionalRoutes, "");
+  }
+
+  /** Writes a configuration with additional routes and accounts; each begins with a comma. */
+  void configure(int version, String additionalRoutes, String additionalAccounts) {
+    store.put(
+        "op",
+        "config",
+        FleetConfiguration.configuration(version, additionalRoutes, additionalAccounts));
   }
 
   FleetEngine addEngine(String service, EngineKind kind) {
