A stage upstream that stores nothing gets a result of any size

Cause: calls take what fits into 0.97 of the declared memory; a larger piece fits nowhere, so nobody ever asks the upstream, which alone knows.

Fix: an upstream that stores nothing and has not reported that it is full gets one piece of any size. Its answer decides; "no room" pauses it as before.

LargeResultTests failed before (no call within 10 s) and passes now. Open: a piece of this size waits until an upstream is empty; smaller results of other requests may keep it waiting under load.

--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.gradeledge.connection.CallFailure;
 import org.gradeledge.connection.CancellableCall;
 import org.gradeledge.deployment.BatchLimits;
@@ -137,11 +138,7 @@
 
   private boolean tryCall(
       BatchUpstream target, ZoneAffinity affinity, BatchLimits limits, long now) {
-    List<StagePiece> batch =
-        waiting.takeBatch(
-            limits.maxItemsPerCall(),
-            upstreams.freeBytes(target, limits),
-            affinity.eligibleIn(target.upstream().zone()));
+    List<StagePiece> batch = takeBatch(target, affinity, limits);
     if (batch.isEmpty()) {
       return false;
     }
@@ -167,6 +164,20 @@
     return true;
   }
 
+  /**
+   * Takes what fits into the free memory of an upstream. One that stores nothing also gets a single
+   * larger piece, as only the upstream knows whether it has memory for it.
+   */
+  private List<StagePiece> takeBatch(
+      BatchUpstream target, ZoneAffinity affinity, BatchLimits limits) {
+    Predicate<GroupInProgress> eligible = affinity.eligibleIn(target.upstream().zone());
+    List<StagePiece> batch =
+        waiting.takeBatch(limits.maxItemsPerCall(), upstreams.freeBytes(target, limits), eligible);
+    return batch.isEmpty() && upstreams.storesNothing(target)
+        ? waiting.takeBatch(1, Long.MAX_VALUE, eligible)
+        : batch;
+  }
+
   private void recordStarted(StagePiece piece, BatchUpstream target, long now) {
     GroupInProgress group = piece.group();
     group.recordCall(target.upstream().zone(), now);
--- a/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/batch/BatchUpstreams.java
@@ -192,6 +192,11 @@
         : (long) (limits.memoryBytes() * USABLE_MEMORY_SHARE) - occupiedBytes(target);
   }
 
+  /** Returns whether an upstream stores no results and has not reported that it is full. */
+  boolean storesNothing(BatchUpstream target) {
+    return occupiedBytes(target) == 0 && !resultMemory.isFull(target.upstream().incarnationId());
+  }
+
   /** Counts calls of peers as well: the previous owner of the service may have calls in flight. */
   private boolean hasFreeSlot(BatchUpstream target, BatchLimits limits) {
     int peerCalls = context.loads().inFlightAtPeers(target.upstream());
