Only load is a reason to refuse a request as late

Cause: admission added a guess of 250 ms for the first event until the route was observed. A refused request observes nothing. By the same reasoning work that takes longer than its objective was refused for good, and answers that are no streams were never observed.

Fix: LatenessForecast. Without observations the stages alone count, and an observation fades to that. A request has as much time as its work takes on idle engines: its stages without backlogs and, while less than half of the places and memory of its service are in use, the observed time after them.

--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeContext.java
@@ -5,6 +5,7 @@
 import org.gradeledge.connection.ConnectionReuse;
 import org.gradeledge.connection.OutgoingRequest;
 import org.gradeledge.deployment.ClientAccount;
+import org.gradeledge.deployment.ServiceDefinition;
 import org.gradeledge.discovery.UpstreamRecord;
 
 /**
@@ -58,6 +59,7 @@
             admitted.priority(),
             candidates.likelyZone(),
             routeTimes.meanFirstEventMillis(admitted.route().name()),
+            candidates.areLightlyLoaded(memoryPerUpstream(admitted)),
             timeline);
     return new ExchangeContext(
         services,
@@ -70,6 +72,14 @@
         queue);
   }
 
+  /** Returns the memory of one upstream of the request's service, if it is limited. */
+  private static Optional<Long> memoryPerUpstream(AdmittedRequest admitted) {
+    return admitted
+        .deployment()
+        .service(admitted.service())
+        .flatMap(ServiceDefinition::kvCacheTokens);
+  }
+
   /** Counts the request for the retry budgets of all services that it uses. */
   void countRequest() {
     services.retryBudget().recordRequest(admitted.service());
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ExchangeOutcome.java
@@ -17,6 +17,8 @@
   private static final long MIN_RETRY_AFTER_MILLIS = 300;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_500;
   private static final double RETRY_JITTER = 0.5;
+  private static final int FIRST_SUCCESS = 200;
+  private static final int FIRST_REDIRECT = 300;
   private static final String UNKNOWN_VERSION = "unknown";
   private static final String PAST_TARGET = "-past-target";
 
@@ -127,6 +129,9 @@
 
   void answered(Attempt attempt, int status, HttpHeaders headers, ByteBuf body) {
     trace(attempt).append(" status-").append(status);
+    if (status >= FIRST_SUCCESS && status < FIRST_REDIRECT) {
+      observeFirstEvent(clock.elapsedMillis());
+    }
     finish("answered-" + status / 100 + "xx", status, AnswerEnd.COMPLETE);
     response.answer(status, headers, body);
   }
@@ -134,10 +139,14 @@
   void beginStream(Attempt attempt, int status, HttpHeaders headers) {
     trace(attempt).append(" status-").append(status);
     firstEventMillis = clock.elapsedMillis();
-    routeTimes.observeFirstEvent(route.name(), firstEventMillis - Math.max(0, stagesMillis));
+    observeFirstEvent(firstEventMillis);
     response.beginStream(status, headers);
   }
 
+  private void observeFirstEvent(long elapsedMillis) {
+    routeTimes.observeFirstEvent(route.name(), elapsedMillis - Math.max(0, stagesMillis));
+  }
+
   void sendEvents(ByteBuf events) {
     int bytes = events.readableBytes();
     if (response.sendEvents(events)) {
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RequestClock.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RequestClock.java
@@ -47,6 +47,11 @@
     answerBegun = true;
   }
 
+  /** Returns the time from the arrival of the request within which its answer should begin. */
+  long targetMillis() {
+    return targetMillis;
+  }
+
   /**
    * Returns the time left until the target time, negative after it; until the timeout once the
    * answer has begun.
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RouteTimes.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RouteTimes.java
@@ -12,12 +12,14 @@
  * Observed times of requests, by route: a moving average from sending a request to the first event
  * of its answer, and the longest time from arrival to the end of a complete answer.
  *
- * <p>The average fades while there are no answers, as requests are refused by it. Confined to the
- * event loop.
+ * <p>The average fades to zero while there are no answers, as requests are refused by it. Confined
+ * to the event loop.
  */
 final class RouteTimes {
 
-  private static final double INITIAL_MILLIS = 250;
+  /** A guess would refuse the requests of a route before any is measured. */
+  private static final double UNMEASURED_MILLIS = 0;
+
   private static final double SMOOTHING = 0.1;
 
   /** Longer than the time between two answers of a route that is in use. */
@@ -37,7 +39,7 @@
   void observeFirstEvent(String route, double millis) {
     meanMillisByRoute
         .computeIfAbsent(route, name -> new FadingAverage(clock, SMOOTHING, TRUSTED, HALF_LIFE))
-        .observe(millis, INITIAL_MILLIS);
+        .observe(millis, UNMEASURED_MILLIS);
   }
 
   void observeWhole(String route, long millis) {
@@ -52,9 +54,9 @@
     return longest == null ? OptionalLong.empty() : longest.value();
   }
 
-  /** Returns the average in milliseconds, or a default if there is no measurement. */
+  /** Returns the average in milliseconds, 0 if there is no measurement. */
   double meanFirstEventMillis(String route) {
     FadingAverage mean = meanMillisByRoute.get(route);
-    return mean == null ? INITIAL_MILLIS : mean.value(INITIAL_MILLIS);
+    return mean == null ? UNMEASURED_MILLIS : mean.value(UNMEASURED_MILLIS);
   }
 }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StageEstimator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StageEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.ToLongFunction;
 import org.gradeledge.batch.StageWorkClient;
 import org.gradeledge.deployment.BatchLimits;
 import org.gradeledge.deployment.Deployment;
@@ -35,23 +36,33 @@
    * The backlog of a later stage is processed while earlier stages run.
    */
   double expectedMillis() {
+    return expectedMillis(service -> client.backlogMillis(service, priority));
+  }
+
+  /** Returns the expected duration of all stages without backlogs. */
+  double idleMillis() {
+    return expectedMillis(service -> 0);
+  }
+
+  private double expectedMillis(ToLongFunction<String> backlogMillis) {
     double[] completionMillis = new double[stages.size()];
     for (int stage = 0; stage < stages.size(); stage++) {
       if (hasPieces(stage)) {
-        completionMillis[stage] = completionMillis(stage, completionMillis);
+        completionMillis[stage] = completionMillis(stage, completionMillis, backlogMillis);
       }
     }
     return Arrays.stream(completionMillis).max().orElse(0);
   }
 
-  private double completionMillis(int stage, double[] completionMillis) {
+  private double completionMillis(
+      int stage, double[] completionMillis, ToLongFunction<String> backlogMillis) {
     StageWork work = stages.get(stage);
     double inputsReady =
         work.dependencies().stream()
             .mapToDouble(predecessor -> completionMillis[predecessor])
             .max()
             .orElse(0);
-    long backlog = client.backlogMillis(work.service(), priority);
+    long backlog = backlogMillis.applyAsLong(work.service());
     int otherPieces = backlog > 0 ? Integer.MAX_VALUE : 0;
     return Math.max(inputsReady, backlog) + callMillis(stage, otherPieces);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/StagePlan.java
@@ -27,9 +27,6 @@
   private static final int MAX_RECOMPUTATIONS = 2;
   private static final double MAX_WAIT_SHARE = 0.4;
 
-  /** Tolerance for inaccurate estimates when a request is rejected as too late. */
-  private static final double LATENESS_TOLERANCE = 1.15;
-
   /** Factor by which the work that a deferred stage waits for must be longer than the stage. */
   private static final double DEFERRAL_MARGIN = 1.2;
 
@@ -40,7 +37,7 @@
   private final RequestClock clock;
   private final int priority;
   private final String zone;
-  private final double firstEventMillis;
+  private final LatenessForecast forecast;
   private final StageTimeline timeline;
   private final StageResults results;
   private final Set<Integer> running = new HashSet<>();
@@ -63,6 +60,7 @@
       int priority,
       String zone,
       double firstEventMillis,
+      boolean lightlyLoaded,
       StageTimeline timeline) {
     this.request = request;
     this.stages = route.stages();
@@ -71,10 +69,10 @@
     this.clock = clock;
     this.priority = priority;
     this.zone = zone;
-    this.firstEventMillis = firstEventMillis;
     this.timeline = timeline;
     this.estimator =
         new StageEstimator(request.pieceCounts(), stages, deployment, client, priority);
+    this.forecast = new LatenessForecast(estimator, clock, firstEventMillis, lightlyLoaded);
   }
 
   /**
@@ -85,8 +83,8 @@
       Consumer<List<String>> doneListener, BiConsumer<Integer, StageGroupResult> failureListener) {
     onDone = doneListener;
     onFailure = failureListener;
-    timeline.setExpectedMillis(expectedMillis());
-    if (isLate()) {
+    timeline.setExpectedMillis(forecast.expectedMillis());
+    if (forecast.isLate()) {
       failAsLate();
       return;
     }
@@ -94,14 +92,6 @@
     startReadyStages();
   }
 
-  private double expectedMillis() {
-    return estimator.expectedMillis() + firstEventMillis;
-  }
-
-  private boolean isLate() {
-    return expectedMillis() > clock.targetRemainingMillis() * LATENESS_TOLERANCE;
-  }
-
   private void failAsLate() {
     finished = true;
     timeline.startRejected();
@@ -128,7 +118,7 @@
   /** Runs all stages again after their results were lost or released; fails if that is too late. */
   void restart() {
     releaseAll();
-    if (isLate()) {
+    if (forecast.isLate()) {
       failAsLate();
       return;
     }
@@ -204,9 +194,6 @@
     withdraw(stage);
     List<String> inputs = new ArrayList<>();
     work.dependencies().forEach(predecessor -> inputs.addAll(results.handlesOf(predecessor)));
-    long dueMillis =
-        clock.targetRemainingMillis()
-            - (long) (estimator.downstreamMillis(stage) + firstEventMillis);
     StageGroup group =
         new StageGroup(
             work.service(),
@@ -219,7 +206,7 @@
             work.resultBytes(),
             results.hasConsumers(stage) ? "" : zone,
             priority,
-            dueMillis,
+            forecast.dueMillis(stage),
             clock.remainingMillis(),
             clock.remainingMillisOfShare(MAX_WAIT_SHARE),
             results.isEmpty());
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/UpstreamCandidates.java
@@ -21,6 +21,8 @@
   /** Keeps log lines short. */
   private static final int MAX_LOGGED_IDS = 8;
 
+  private static final double LIGHT_LOAD = 0.5;
+
   private final RelayServices services;
   private final String service;
   private final RelayRequest request;
@@ -67,6 +69,15 @@
         .orElse(preferredZone);
   }
 
+  /**
+   * Returns whether less than half of the places and of the memory of the upstreams are in use.
+   *
+   * @param memoryPerUpstream memory of one upstream, if it is limited
+   */
+  boolean areLightlyLoaded(Optional<Long> memoryPerUpstream) {
+    return services.loads().usedShare(usable(), memoryPerUpstream) < LIGHT_LOAD;
+  }
+
   /** Prefers the availability zone that stores most of the request's inputs. */
   void setInputBytes(Map<String, Long> bytesByZone) {
     bytesByZone.entrySet().stream()
--- a/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoads.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/selection/UpstreamLoads.java
@@ -1,5 +1,6 @@
 package org.gradeledge.selection;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -109,6 +110,28 @@
         .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().ownLoad()));
   }
 
+  /**
+   * Returns the share of the places of all given upstreams, or of their memory if that is more,
+   * that requests of all boxes use; 1 if there are no upstreams.
+   *
+   * @param memoryPerUpstream memory of one upstream, if it is limited
+   */
+  public double usedShare(Collection<UpstreamRecord> upstreams, Optional<Long> memoryPerUpstream) {
+    long places = 0;
+    long requests = 0;
+    long memory = 0;
+    for (UpstreamRecord upstream : upstreams) {
+      UpstreamLoad load = load(upstream.incarnationId());
+      places += upstream.slots();
+      requests += load.totalInFlight();
+      memory += load.totalMemory();
+    }
+    double ofPlaces = places == 0 ? 1 : (double) requests / places;
+    long usableMemory = memoryPerUpstream.orElse(0L) * upstreams.size();
+    double ofMemory = usableMemory == 0 ? 0 : (double) memory / usableMemory;
+    return Math.max(ofPlaces, ofMemory);
+  }
+
   /** Removes an upstream without requests in flight. */
   public void remove(UpstreamRecord upstream) {
     UpstreamLoad load = byIncarnation.get(upstream.incarnationId());
--- a/gradeledge-core/src/test/java/org/gradeledge/deployment/TestDeployments.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/deployment/TestDeployments.java
@@ -17,13 +17,23 @@
   /** Returns a route with default limits and the given stages. */
   public static RouteDefinition route(
       String host, String prefix, Repeatability repeatability, List<StageWork> stages) {
+    return route(host, prefix, repeatability, stages, 500);
+  }
+
+  /** Returns a route with the given stages and target time. */
+  public static RouteDefinition route(
+      String host,
+      String prefix,
+      Repeatability repeatability,
+      List<StageWork> stages,
+      long targetMillis) {
     return new RouteDefinition(
         host + prefix,
         host,
         prefix,
         repeatability,
         2_000,
-        500,
+        targetMillis,
         1,
         2,
         List.of(new WeightedService("service", 1)),
--- a/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/relay/StagePlanTests.java
@@ -241,7 +241,16 @@
             Optional.of("key"));
     StagePlan plan =
         new StagePlan(
-            request, deployment(route), route, client, clock, priority, "zone", 100, timeline);
+            request,
+            deployment(route),
+            route,
+            client,
+            clock,
+            priority,
+            "zone",
+            100,
+            false,
+            timeline);
     plan.start(
         handles -> outcomes.add("done " + handles),
         (stage, result) -> outcomes.add("failed " + stage + " " + result.outcome()));
--- a/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
+++ b/gradeledge-standin/src/test/java/org/gradeledge/standin/fleet/SoakRun.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReadWriteLock;
 import java.util.concurrent.locks.ReentrantReadWriteLock;
+import java.util.stream.Stream;
 
 /**
  * One run of the soak test: box processes, stand-ins for the store and the engines, callers, and
@@ -87,17 +88,13 @@
     SoakAnswerStep.deviateEverywhere(this, new Random(~seed));
     runAllSeries();
     clearFaults();
-    expectAllServing("after all faults");
+    boxes.forEach(box -> expectServing(box, "after all faults", configuration.prefixes()));
     callers.stop();
     streamCallers.stop();
     checkResults();
-    return violations.isEmpty() ? List.of() : violationsAndSteps();
-  }
-
-  private List<String> violationsAndSteps() {
-    List<String> lines = new ArrayList<>(violations);
-    lines.addAll(stepLog);
-    return lines;
+    return violations.isEmpty()
+        ? List.of()
+        : Stream.concat(violations.stream(), stepLog.stream()).toList();
   }
 
   SoakCallers callers() {
@@ -224,9 +221,13 @@
 
   /** Records a violation unless the box serves each kind of request within the recovery timeout. */
   void expectServing(SoakBox box, String phase) {
+    expectServing(box, phase, FleetConfiguration.PATHS);
+  }
+
+  private void expectServing(SoakBox box, String phase, List<String> paths) {
     long deadlineMillis = SoakCallers.currentMillis() + RECOVERY_TIMEOUT.toMillis() * timeoutFactor;
     HttpClient client = FleetCaller.newClient();
-    for (String path : FleetConfiguration.PATHS) {
+    for (String path : paths) {
       SoakCall call = callers.sendRequest(client, box, path);
       while (!call.hasStatus(200) && SoakCallers.currentMillis() < deadlineMillis) {
         call = callers.sendRequest(client, box, path);
