A response whose status is not three digits is no response

Callers saw: an engine's "HTTP/1.1 0200 OK", "+200" or "00200" as "200 OK" with body and signature (the users' report of status 000; 000 itself and nine other texts ended with 502 here before). The store client took a transaction that was answered so for done.

Cause: the decoder reads the status by a number parser, and the box writes the number anew; the check saw the number only.

Fix: StatusCode decides by the text of the status line, in the decoder of calls to upstreams and, for the clients of Reactor Netty, in a handler before its decoder. A 204 that announces a body is refused, and an answer to HEAD keeps the length that the engine named, where it was replaced by 0.

--- a/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/CallResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -63,12 +64,20 @@
     in.skipBytes(in.readableBytes());
   }
 
+  /** Fails for a status that is none, which the superclass may read as another one. */
+  private static void checkStatus(String status) {
+    if (!StatusCode.isValid(status)) {
+      throw new IllegalArgumentException("invalid status: " + status);
+    }
+  }
+
   /**
    * Decodes responses of HTTP/1.0 by the rules of HTTP/1.1, which refuse several lengths. They end
    * their connection.
    */
   @Override
   protected HttpMessage createMessage(String[] initialLine) {
+    checkStatus(initialLine[1]);
     HttpMessage message = super.createMessage(initialLine);
     if (HttpVersion.HTTP_1_0.equals(message.protocolVersion())) {
       message.setProtocolVersion(HttpVersion.HTTP_1_1);
@@ -77,9 +86,15 @@
     return message;
   }
 
-  /** Responses to HEAD requests have no body; those to other calls on the connection may have. */
+  /**
+   * Responses to HEAD requests have no body; those to other calls on the connection may have. The
+   * superclass removes the transfer coding of a message without a body, so it is checked here.
+   */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    ResponseHeadValidator.findImpossibleBody((HttpResponse) message)
+        .map(defect -> DecoderResult.failure(new IllegalArgumentException(defect)))
+        .ifPresent(message::setDecoderResult);
     return super.isContentAlwaysEmpty(message)
         || calls
             .requestInFlight()
--- a/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/connection/ResponseHeadValidator.java
@@ -5,6 +5,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
@@ -12,9 +14,6 @@
 /** Finds response heads that must not be used although they can be decoded. */
 final class ResponseHeadValidator {
 
-  private static final int MIN_STATUS = 100;
-  private static final int MAX_STATUS = 599;
-
   private ResponseHeadValidator() {}
 
   /** Returns why the head of a response to a request must not be used; empty if it may be. */
@@ -31,9 +30,7 @@
   private static Optional<String> findInvalidStatusLine(HttpResponse response) {
     boolean valid =
         HttpVersion.HTTP_1_1.equals(response.protocolVersion())
-            && response.status().code() >= MIN_STATUS
-            && response.status().code() <= MAX_STATUS
-            && !HttpResponseStatus.SWITCHING_PROTOCOLS.equals(response.status());
+            && StatusCode.isValid(response.status().codeAsText().toString());
     return valid
         ? Optional.empty()
         : Optional.of(response.protocolVersion() + " " + response.status());
@@ -50,6 +47,19 @@
     return several ? Optional.of("several lengths " + lengths) : Optional.empty();
   }
 
+  /** Finds heads that announce a body where the protocol has none. */
+  static Optional<String> findImpossibleBody(HttpResponse response) {
+    boolean bodiless =
+        HttpResponseStatus.NO_CONTENT.equals(response.status())
+            || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    boolean announced =
+        response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+            || HttpUtil.getContentLength(response, 0L) != 0;
+    return bodiless && announced
+        ? Optional.of("status " + response.status().code() + " with a body")
+        : Optional.empty();
+  }
+
   private static boolean isChunkedOnly(List<String> codings) {
     return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/node/BoxServices.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/node/BoxServices.java
@@ -13,6 +13,7 @@
 import org.gradeledge.claim.GroupCommit;
 import org.gradeledge.configuration.ConfigurationRegistry;
 import org.gradeledge.configuration.PipelineVersion;
+import org.gradeledge.connection.StatusLineVerifier;
 import org.gradeledge.http.TlsContexts;
 import org.gradeledge.membership.Membership;
 import org.gradeledge.metrics.BoxMetrics;
@@ -68,7 +69,7 @@
     this.platformConnections = ConnectionProvider.create("platform", PLATFORM_CONNECTIONS);
     this.upstreamConnections =
         ConnectionProvider.builder("upstream").maxConnections(UPSTREAM_CONNECTIONS).build();
-    HttpClient platformClient = HttpClient.create(platformConnections);
+    HttpClient platformClient = withVerifiedStatusLines(HttpClient.create(platformConnections));
     var platform = settings.platform();
     this.table =
         new HttpTableService(platformClient, platform.table(), timing.platformCall(), metrics);
@@ -94,7 +95,7 @@
         new HeartbeatService(peers, membership, registry, changes.fetcher(), upstreams, clock);
     HttpUpstreamProtocol protocol =
         new HttpUpstreamProtocol(
-            HttpClient.create(upstreamConnections)
+            withVerifiedStatusLines(HttpClient.create(upstreamConnections))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, UPSTREAM_CONNECT_MILLIS)
                 .disableRetry(true),
             settings.limitsOrDefault().answerBytes(),
@@ -136,6 +137,11 @@
             .toList());
   }
 
+  private static HttpClient withVerifiedStatusLines(HttpClient client) {
+    return client.doOnChannelInit(
+        (observer, channel, remote) -> StatusLineVerifier.addTo(channel.pipeline()));
+  }
+
   private static RoutingPolicy policy(BoxSettings settings) {
     return settings.routing().map(RoutingPolicy::ofWireName).orElse(RoutingPolicy.TWO_CHOICES);
   }
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/ReactorCallerResponse.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -26,10 +27,19 @@
           HttpHeaderNames.UPGRADE,
           HttpHeaderNames.CONTENT_LENGTH);
   private static final long MILLIS_PER_SECOND = 1_000;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  private final HttpMethod method;
 
   private final Sinks.One<RelayAnswer> answer = Sinks.one();
   private final Sinks.Many<ByteBuf> eventSink = Sinks.many().unicast().onBackpressureBuffer();
 
+  /** Creates the answer to a request with a method. */
+  ReactorCallerResponse(HttpMethod method) {
+    this.method = method;
+  }
+
   /** Returns the answer; it is emitted when its head is available. */
   Mono<RelayAnswer> answer() {
     return answer.asMono();
@@ -63,11 +73,22 @@
   @Override
   public void answer(int status, HttpHeaders headers, ByteBuf body) {
     HttpHeaders forwarded = endToEndHeaders(headers);
-    forwarded.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    if (isBodyOmitted(status)) {
+      headers.getAll(HttpHeaderNames.CONTENT_LENGTH).stream()
+          .filter(length -> status != NO_CONTENT)
+          .forEach(length -> forwarded.set(HttpHeaderNames.CONTENT_LENGTH, length));
+    } else {
+      forwarded.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    }
     Flux<ByteBuf> content = body.isReadable() ? Flux.just(body) : Flux.empty();
     answer.tryEmitValue(new RelayAnswer(status, forwarded, content, false));
   }
 
+  /** Returns whether the length in a head is not that of the body, which the protocol omits. */
+  private boolean isBodyOmitted(int status) {
+    return method.equals(HttpMethod.HEAD) || status == NO_CONTENT || status == NOT_MODIFIED;
+  }
+
   @Override
   public void beginStream(int status, HttpHeaders headers) {
     answer.tryEmitValue(
--- a/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServer.java
+++ b/gradeledge-core/src/main/java/org/gradeledge/relay/RelayServer.java
@@ -93,7 +93,7 @@
     begin(channel[0]);
     return readBody(request)
         .flatMap(bytes -> relay(request, bytes))
-        .onErrorResume(BodyTooLargeException.class, e -> rejectTooLarge(response))
+        .onErrorResume(BodyTooLargeException.class, e -> rejectTooLarge(request, response))
         .flatMap(answer -> write(response, answer))
         .doFinally(signal -> end(channel[0]));
   }
@@ -133,7 +133,7 @@
   private Mono<RelayAnswer> relay(HttpServerRequest request, byte[] bytes) {
     return Mono.defer(
         () -> {
-          ReactorCallerResponse response = new ReactorCallerResponse();
+          ReactorCallerResponse response = new ReactorCallerResponse(request.method());
           return protocol
               .read(request, bytes)
               .fold(
@@ -168,8 +168,9 @@
     return new RelayAnswer(answer.status(), answer.headers(), body, answer.streaming());
   }
 
-  private static Mono<RelayAnswer> rejectTooLarge(HttpServerResponse response) {
-    ReactorCallerResponse refused = new ReactorCallerResponse();
+  private static Mono<RelayAnswer> rejectTooLarge(
+      HttpServerRequest request, HttpServerResponse response) {
+    ReactorCallerResponse refused = new ReactorCallerResponse(request.method());
     refused.refuse(Refusal.BODY_TOO_LARGE, 0);
     response.keepAlive(false);
     return refused.answer();
--- a/gradeledge-core/src/test/java/org/gradeledge/connection/MalformedResponseTests.java
+++ b/gradeledge-core/src/test/java/org/gradeledge/connection/MalformedResponseTests.java
@@ -57,6 +57,20 @@
     assertFails(statusLine, "Content-Length: 5", "whole");
   }
 
+  // Guards against a status that a number parser reads as another one.
+  @ParameterizedTest
+  @ValueSource(strings = {"0200", "+200", "00200", "000", "099", "-01", "2OO", "600", "999"})
+  void failsAfterAStatusThatIsNotThreeDigits(String status) throws Exception {
+    assertFails("HTTP/1.1 " + status + " OK", "Content-Length: 5", "whole");
+  }
+
+  // Guards against a body that is announced where the protocol has none.
+  @ParameterizedTest
+  @ValueSource(strings = {"Content-Length: 5", "Transfer-Encoding: chunked"})
+  void failsAfterAnImpossibleBody(String header) throws Exception {
+    assertFails("HTTP/1.1 204 No Content", header, "");
+  }
+
   // Guards against a status line of another version, or with a status of four digits.
   @ParameterizedTest
   @ValueSource(strings = {"HTTP/2.0 200 OK", "HTTP/1.1 2000 OK"})
